--- /dev/null
+++ b/tests/unit/messages_test.cc
@@ -0,0 +1,53 @@
+#include "boragepaddle/schema/messages.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace boragepaddle::schema {
+namespace {
+
+CallRequest SampleRequest() {
+  CallRequest request;
+  request.attempt_id = 7;
+  request.request_id = "r-1";
+  request.service = "tagpress";
+  request.operation = "print";
+  request.call_class = CallClass::kInternal;
+  request.deadline_us = -5;
+  request.body = std::string("\0binary\xff", 8);
+  return request;
+}
+
+TEST_CASE("messages: a call request survives encoding unchanged") {
+  const auto decoded = Decode(Encode(SampleRequest()));
+  REQUIRE(decoded.has_value());
+  CHECK(std::get<CallRequest>(decoded.value()) == SampleRequest());
+}
+
+// Guards against a crash or an exception on frames from a broken peer.
+TEST_CASE("messages: every truncation of a frame is a typed error") {
+  const std::string whole = Encode(SampleRequest());
+  for (size_t length = 0; length < whole.size(); ++length) {
+    const auto decoded = Decode(absl::string_view(whole).substr(0, length));
+    CHECK_FALSE(decoded.has_value());
+  }
+}
+
+TEST_CASE("messages: an unknown kind is reported as such") {
+  const auto decoded = Decode(std::string("\x92\x7f\x90", 3));
+  REQUIRE_FALSE(decoded.has_value());
+  CHECK(decoded.error().code == DecodeErrorCode::kUnknownKind);
+}
+
+// Guards against an out-of-range value reaching a switch over the enum.
+TEST_CASE("messages: an enum value out of range is refused") {
+  const auto decoded = Decode(std::string("\x92\x06\x93\x01\x09\x00", 6));
+  REQUIRE_FALSE(decoded.has_value());
+  CHECK(decoded.error().code == DecodeErrorCode::kBadField);
+}
+
+}  // namespace
+}  // namespace boragepaddle::schema
