--- /dev/null
+++ b/src/boragepaddle/config/config_error.h
@@ -0,0 +1,54 @@
+#ifndef BORAGEPADDLE_CONFIG_CONFIG_ERROR_H_
+#define BORAGEPADDLE_CONFIG_CONFIG_ERROR_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+
+namespace boragepaddle::config {
+
+/// Why a configuration folder or a version of it is refused.
+enum class ConfigErrorCode : uint8_t {
+  kUnreadableFile,
+  kDuplicateMember,
+  kBadName,
+  kBadApproval,
+  kApprovalGap,
+  kDuplicateService,
+  kForeignService,
+  kDuplicateOperation,
+  kBadCallTarget,
+  kUnknownService,
+  kUnknownOperation,
+  kCallCycle,
+  kCallTooDeep,
+  kContradiction,
+  kUnsafeRetry,
+  kVersionConflict,
+  kDigestMismatch,
+};
+
+/// One fault with the place where it has to be corrected.
+struct ConfigError {
+  ConfigErrorCode code = ConfigErrorCode::kUnreadableFile;
+  std::string file;
+  /// Path of the key, such as `services[0].operations[1].calls[0]`.
+  std::string path;
+  std::string value;
+  std::string reason;
+  std::string correction;
+};
+
+using ConfigErrors = std::vector<ConfigError>;
+
+/// Returns the name of the code, such as `call-cycle`.
+absl::string_view ToString(ConfigErrorCode code);
+
+/// Formats the fault as one line: file, path, value, reason and correction.
+std::string Describe(const ConfigError& error);
+
+}  // namespace boragepaddle::config
+
+#endif  // BORAGEPADDLE_CONFIG_CONFIG_ERROR_H_
--- /dev/null
+++ b/src/boragepaddle/config/diff.h
@@ -0,0 +1,33 @@
+#ifndef BORAGEPADDLE_CONFIG_DIFF_H_
+#define BORAGEPADDLE_CONFIG_DIFF_H_
+
+#include <string>
+#include <vector>
+
+#include "boragepaddle/config/folder.h"
+
+namespace boragepaddle::config {
+
+/// One changed key.
+struct Change {
+  std::string member;
+  /// File that holds the key; the earlier file if it was removed.
+  std::string file;
+  /// Empty if the key is not part of a service.
+  std::string service;
+  /// Empty if the key is not part of an operation.
+  std::string operation;
+  /// Key path with names for positions, such as `services[lending].slots`.
+  std::string path;
+  /// JSON text; empty if the key was absent.
+  std::string old_value;
+  /// JSON text; empty if the key is absent.
+  std::string new_value;
+};
+
+/// Returns the changed keys by member, service, operation and key path.
+std::vector<Change> Diff(const Folder& from, const Folder& to);
+
+}  // namespace boragepaddle::config
+
+#endif  // BORAGEPADDLE_CONFIG_DIFF_H_
