--- /dev/null
+++ b/src/boragepaddle/config/membership.cc
@@ -0,0 +1,278 @@
+#include "boragepaddle/config/membership.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+
+namespace boragepaddle::config {
+
+namespace {
+
+using Approvals = std::vector<const schema::Approval*>;
+
+// Working state of one computation.
+struct Count {
+  absl::flat_hash_set<std::string> founders;
+  // Files by claimed member, each list in the order of names.
+  std::map<std::string, std::vector<const ParsedFile*>> files;
+  // Approvals of each member that can have an effect.
+  absl::flat_hash_map<std::string, Approvals> approvals;
+  Membership result;
+  ConfigErrors* errors = nullptr;
+};
+
+void AddReadFaults(const ParsedFile& file, ConfigErrors* errors) {
+  for (const schema::SettingsError& fault : file.faults) {
+    errors->push_back({ConfigErrorCode::kUnreadableFile, fault.file, fault.path,
+                       fault.value, schema::ToString(fault.code),
+                       fault.expected.empty()
+                           ? "add the key"
+                           : absl::StrCat("expected ", fault.expected)});
+  }
+}
+
+void GroupFiles(const ParsedFolder& folder, Count* count) {
+  for (const auto& [name, file] : folder) {
+    if (!file->member.empty()) {
+      count->files[file->member].push_back(file.get());
+    } else {
+      // Without an owner, it may be the file of a member whose services would
+      // disappear if it were skipped.
+      AddReadFaults(*file, count->errors);
+    }
+  }
+}
+
+// Returns the only file of a member, or null with a fault if there are more.
+const ParsedFile* OnlyFile(const std::string& member, Count* count) {
+  const auto found = count->files.find(member);
+  if (found == count->files.end()) {
+    return nullptr;
+  }
+  const std::vector<const ParsedFile*>& files = found->second;
+  if (files.size() == 1) {
+    return files.front();
+  }
+  for (const ParsedFile* file : files) {
+    const ParsedFile* other = file == files[0] ? files[1] : files[0];
+    count->errors->push_back(
+        {ConfigErrorCode::kDuplicateMember, file->name, "member", member,
+         absl::StrCat("file ", other->name, " is of the same member"),
+         "keep one file per member"});
+  }
+  return nullptr;
+}
+
+std::string ApprovalPath(size_t index, const char* key) {
+  return absl::StrCat("approves[", index, "].", key);
+}
+
+// Approvals of founding members and of their order numbers are skipped: they
+// stay in the files after a member was made founding in the node settings.
+bool HasEffect(const Count& count, const schema::Approval& approval) {
+  return !count.founders.contains(approval.member) &&
+         approval.order > count.founders.size();
+}
+
+void CheckApproval(const Member& member,
+                   const ParsedFile& file,
+                   size_t index,
+                   const Approvals& earlier,
+                   ConfigErrors* errors) {
+  const schema::Approval& approval = file.content.approves[index];
+  if (approval.member == member.name || approval.order <= member.order) {
+    errors->push_back({ConfigErrorCode::kBadApproval, file.name,
+                       ApprovalPath(index, "order"),
+                       absl::StrCat(approval.order),
+                       absl::StrCat("member ", member.name, " has order ",
+                                    member.order, " itself"),
+                       "approve only members that join later"});
+  }
+  for (const schema::Approval* other : earlier) {
+    if (other->member == approval.member || other->order == approval.order) {
+      errors->push_back(
+          {ConfigErrorCode::kBadApproval, file.name,
+           ApprovalPath(index, "member"), approval.member,
+           absl::StrCat("the file also approves ", other->member,
+                        " with order ", other->order),
+           "approve each member once and use each order number once"});
+    }
+  }
+}
+
+// A file that skips an order number could otherwise withdraw one approval and
+// keep a later one, which would unseat every member in between.
+void CheckNoGap(const Member& member,
+                const ParsedFile& file,
+                const Count& count,
+                const Approvals& approvals) {
+  std::set<uint32_t> orders;
+  for (const schema::Approval* approval : approvals) {
+    orders.insert(approval->order);
+  }
+  auto expected = std::max<uint32_t>(
+      member.order, static_cast<uint32_t>(count.founders.size()));
+  for (const uint32_t order : orders) {
+    ++expected;
+    if (order != expected) {
+      count.errors->push_back(
+          {ConfigErrorCode::kApprovalGap, file.name, "approves",
+           absl::StrCat(order), absl::StrCat("order ", expected, " is missing"),
+           "approve in order, and withdraw the highest order first"});
+      return;
+    }
+  }
+}
+
+// Adds a member with its file and its approvals.
+void Seat(std::string name, bool founding, Count* count) {
+  Member member;
+  member.order = static_cast<uint32_t>(count->result.members.size()) + 1;
+  member.founding = founding;
+  member.name = std::move(name);
+  const ParsedFile* file = OnlyFile(member.name, count);
+  if (file != nullptr) {
+    member.file = file->name;
+    AddReadFaults(*file, count->errors);
+    Approvals approvals;
+    const std::vector<schema::Approval>& listed = file->content.approves;
+    for (size_t index = 0; index < listed.size(); ++index) {
+      if (HasEffect(*count, listed[index])) {
+        CheckApproval(member, *file, index, approvals, count->errors);
+        approvals.push_back(&listed[index]);
+      }
+    }
+    CheckNoGap(member, *file, *count, approvals);
+    count->approvals[member.name] = std::move(approvals);
+  }
+  count->result.members.push_back(std::move(member));
+}
+
+bool Approves(const Count& count,
+              const std::string& member,
+              const std::string& candidate,
+              uint32_t order) {
+  const auto found = count.approvals.find(member);
+  if (found == count.approvals.end()) {
+    return false;
+  }
+  for (const schema::Approval* approval : found->second) {
+    if (approval->member == candidate && approval->order == order) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<std::string> MissingApprovals(const Count& count,
+                                          const std::string& candidate,
+                                          uint32_t order) {
+  std::vector<std::string> missing;
+  for (const Member& member : count.result.members) {
+    if (member.order < order &&
+        !Approves(count, member.name, candidate, order)) {
+      missing.push_back(member.name);
+    }
+  }
+  return missing;
+}
+
+// Returns the candidate that every member approves with the next order, or an
+// empty name. The first member's approval suffices to find it.
+std::string NextMember(const Count& count) {
+  const std::vector<Member>& members = count.result.members;
+  if (members.empty()) {
+    return "";
+  }
+  const auto order = static_cast<uint32_t>(members.size()) + 1;
+  const auto first = count.approvals.find(members.front().name);
+  if (first == count.approvals.end()) {
+    return "";
+  }
+  for (const schema::Approval* approval : first->second) {
+    if (approval->order == order &&
+        MissingApprovals(count, approval->member, order).empty()) {
+      return approval->member;
+    }
+  }
+  return "";
+}
+
+// Returns the order under which the most members approve the candidate; the
+// lowest of them if several are equal, and 0 if nobody approves it.
+uint32_t MostApprovedOrder(const Count& count, const std::string& candidate) {
+  std::map<uint32_t, size_t> votes;
+  for (const auto& [member, approvals] : count.approvals) {
+    for (const schema::Approval* approval : approvals) {
+      if (approval->member == candidate) {
+        ++votes[approval->order];
+      }
+    }
+  }
+  uint32_t best = 0;
+  for (const auto& [order, number] : votes) {
+    if (best == 0 || number > votes[best]) {
+      best = order;
+    }
+  }
+  return best;
+}
+
+void AddCandidates(Count* count) {
+  std::set<std::string> names;
+  for (const auto& [member, files] : count->files) {
+    names.insert(member);
+  }
+  for (const auto& [member, approvals] : count->approvals) {
+    for (const schema::Approval* approval : approvals) {
+      names.insert(approval->member);
+    }
+  }
+  for (const Member& member : count->result.members) {
+    names.erase(member.name);
+  }
+  for (const std::string& name : names) {
+    Candidate candidate;
+    candidate.name = name;
+    const auto files = count->files.find(name);
+    if (files != count->files.end()) {
+      candidate.file = files->second.front()->name;
+    }
+    candidate.order = MostApprovedOrder(*count, name);
+    const uint32_t order = candidate.order != 0
+                               ? candidate.order
+                               : count->result.members.size() + 1;
+    candidate.missing_approvals = MissingApprovals(*count, name, order);
+    count->result.candidates.push_back(std::move(candidate));
+  }
+}
+
+}  // namespace
+
+Membership ComputeMembership(const ParsedFolder& folder,
+                             absl::Span<const std::string> founding_members,
+                             ConfigErrors* errors) {
+  Count count;
+  count.errors = errors;
+  count.founders.insert(founding_members.begin(), founding_members.end());
+  GroupFiles(folder, &count);
+  absl::flat_hash_set<std::string> seated;
+  for (const std::string& founder : founding_members) {
+    if (seated.insert(founder).second) {
+      Seat(founder, /*founding=*/true, &count);
+    }
+  }
+  for (std::string next = NextMember(count); !next.empty();
+       next = NextMember(count)) {
+    Seat(std::move(next), /*founding=*/false, &count);
+  }
+  AddCandidates(&count);
+  return std::move(count.result);
+}
+
+}  // namespace boragepaddle::config
