--- a/src/boragepaddle/config/call_graph.cc
+++ b/src/boragepaddle/config/call_graph.cc
@@ -219,9 +219,8 @@
     absl::Span<const OperationEntry> operations,
     size_t start,
     absl::FunctionRef<bool(const OperationEntry&)> matches) {
-  std::vector<size_t> found_from(operations.size(), kNone);
+  absl::flat_hash_map<size_t, size_t> found_from = {{start, start}};
   std::vector<size_t> queue = {start};
-  found_from[start] = start;
   for (size_t next = 0; next < queue.size(); ++next) {
     size_t position = queue[next];
     if (matches(operations[position])) {
@@ -234,8 +233,7 @@
       return chain;
     }
     for (const size_t callee : operations[position].callees) {
-      if (found_from[callee] == kNone) {
-        found_from[callee] = position;
+      if (found_from.emplace(callee, position).second) {
         queue.push_back(callee);
       }
     }
--- a/src/boragepaddle/config/config_error.cc
+++ b/src/boragepaddle/config/config_error.cc
@@ -6,8 +6,8 @@
 
 absl::string_view ToString(ConfigErrorCode code) {
   switch (code) {
-    case ConfigErrorCode::kUnreadableFile:
-      return "unreadable-file";
+    case ConfigErrorCode::kInvalidFile:
+      return "invalid-file";
     case ConfigErrorCode::kDuplicateMember:
       return "duplicate-member";
     case ConfigErrorCode::kBadName:
--- a/src/boragepaddle/config/config_error.h
+++ b/src/boragepaddle/config/config_error.h
@@ -11,7 +11,7 @@
 
 /// Why a configuration folder or a version of it is refused.
 enum class ConfigErrorCode : uint8_t {
-  kUnreadableFile,
+  kInvalidFile,
   kDuplicateMember,
   kBadName,
   kBadApproval,
@@ -32,7 +32,7 @@
 
 /// One fault with the place where it has to be corrected.
 struct ConfigError {
-  ConfigErrorCode code = ConfigErrorCode::kUnreadableFile;
+  ConfigErrorCode code = ConfigErrorCode::kInvalidFile;
   std::string file;
   /// Path of the key, such as `services[0].operations[1].calls[0]`.
   std::string path;
--- a/src/boragepaddle/config/membership.cc
+++ b/src/boragepaddle/config/membership.cc
@@ -28,7 +28,7 @@
 
 void AddReadFaults(const ParsedFile& file, ConfigErrors* errors) {
   for (const schema::SettingsError& fault : file.faults) {
-    errors->push_back({ConfigErrorCode::kUnreadableFile, fault.file, fault.path,
+    errors->push_back({ConfigErrorCode::kInvalidFile, fault.file, fault.path,
                        fault.value, schema::ToString(fault.code),
                        fault.expected.empty()
                            ? "add the key"
@@ -93,15 +93,18 @@
                                     member.order, " itself"),
                        "approve only members that join later"});
   }
-  for (const schema::Approval* other : earlier) {
-    if (other->member == approval.member || other->order == approval.order) {
-      errors->push_back(
-          {ConfigErrorCode::kBadApproval, file.name,
-           ApprovalPath(index, "member"), approval.member,
-           absl::StrCat("the file also approves ", other->member,
-                        " with order ", other->order),
-           "approve each member once and use each order number once"});
-    }
+  const auto conflict =
+      std::find_if(earlier.begin(), earlier.end(), [&](const auto* other) {
+        return other->member == approval.member ||
+               other->order == approval.order;
+      });
+  if (conflict != earlier.end()) {
+    errors->push_back(
+        {ConfigErrorCode::kBadApproval, file.name,
+         ApprovalPath(index, "member"), approval.member,
+         absl::StrCat("the file also approves ", (*conflict)->member,
+                      " with order ", (*conflict)->order),
+         "approve each member once and use each order number once"});
   }
 }
 
--- a/src/boragepaddle/config/rule_check.cc
+++ b/src/boragepaddle/config/rule_check.cc
@@ -11,6 +11,10 @@
 
 namespace {
 
+// Naming the chain searches the graph below an operation, so that the cost of
+// a folder with thousands of faults is bounded by listing only the first.
+constexpr size_t kMaxRetryFaults = 100;
+
 std::string ChainText(const MergedRules& rules,
                       const std::vector<size_t>& chain) {
   return absl::StrJoin(chain, " -> ",
@@ -60,13 +64,17 @@
 }
 
 void CheckRetries(const MergedRules& rules, ConfigErrors* errors) {
-  for (size_t position = 0; position < rules.operations.size(); ++position) {
+  size_t faults = 0;
+  for (size_t position = 0;
+       position < rules.operations.size() && faults < kMaxRetryFaults;
+       ++position) {
     const OperationEntry& operation = rules.operations[position];
     if (!operation.rule.retry_on_unknown) {
       continue;
     }
     std::string reason = UnsafeReason(rules, position);
     if (!reason.empty()) {
+      ++faults;
       errors->push_back(
           {ConfigErrorCode::kUnsafeRetry, FileOf(rules, operation),
            absl::StrCat(operation.path, ".retry_on_unknown"), "true",
--- a/src/boragepaddle/config/rule_check.h
+++ b/src/boragepaddle/config/rule_check.h
@@ -10,7 +10,8 @@
 void CheckContradictions(const MergedRules& rules, ConfigErrors* errors);
 
 /// Adds a fault for each operation that is retryable after an unknown outcome
-/// although it or an operation below it must not run twice. Needs the closure
+/// although it or an operation below it must not run twice; lists the first
+/// 100 of them. Needs the closure
 /// flags of `LinkCalls`.
 void CheckRetries(const MergedRules& rules, ConfigErrors* errors);
 
--- a/src/boragepaddle/schema/json_reader.cc
+++ b/src/boragepaddle/schema/json_reader.cc
@@ -12,6 +12,9 @@
 constexpr uint32_t kMaxPort = 65535;
 // Keeps one error on one line, however large the offending value is.
 constexpr size_t kMaxQuotedLength = 80;
+// Settings nest 6 levels. Printing a value recurses once per level, so that a
+// file of 1 MB of brackets would overflow the stack.
+constexpr int kMaxDepth = 32;
 
 std::string Quote(const nlohmann::json& json) {
   std::string text =
@@ -216,16 +219,31 @@
                absl::string_view text,
                nlohmann::json* json,
                SettingsErrors* errors) {
+  bool too_deep = false;
+  const auto limit_depth = [&too_deep](int depth, nlohmann::json::parse_event_t,
+                                       nlohmann::json&) {
+    too_deep |= depth > kMaxDepth;
+    return depth <= kMaxDepth;
+  };
+  std::string fault;
   try {
-    *json = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/true,
+    *json = nlohmann::json::parse(text, limit_depth, /*allow_exceptions=*/true,
                                   /*ignore_comments=*/true);
-    return true;
   } catch (const nlohmann::json::parse_error& error) {
-    errors->push_back({SettingsErrorCode::kSyntax, std::string(file), "",
-                       absl::StrCat("at byte ", error.byte),
-                       "JSON with comments"});
-    return false;
+    fault = absl::StrCat("at byte ", error.byte);
+  } catch (const nlohmann::json::out_of_range&) {
+    // The library reports a number that no type can hold in this way.
+    fault = "number out of range";
+  }
+  if (fault.empty() && too_deep) {
+    fault = absl::StrCat("nested deeper than ", kMaxDepth);
+  }
+  if (fault.empty()) {
+    return true;
   }
+  errors->push_back({SettingsErrorCode::kSyntax, std::string(file), "",
+                     std::move(fault), "JSON with comments"});
+  return false;
 }
 
 }  // namespace boragepaddle::schema
--- /dev/null
+++ b/tests/unit/json_reader_test.cc
@@ -0,0 +1,25 @@
+#include "boragepaddle/schema/json_reader.h"
+
+#include <doctest/doctest.h>
+
+#include "boragepaddle/schema/settings.h"
+
+namespace boragepaddle::schema {
+namespace {
+
+TEST_CASE("json reader: a number that no type holds is a fault, not a throw") {
+  const auto file = ReadMemberFile("x.json", R"({"member": 1e9999})");
+  REQUIRE_FALSE(file.has_value());
+  CHECK(file.error()[0].code == SettingsErrorCode::kSyntax);
+}
+
+// Quoting the value in the fault recurses once per level.
+TEST_CASE("json reader: deep nesting does not overflow the stack") {
+  const std::string deep = std::string(400000, '[') + std::string(400000, ']');
+  const auto file = ReadMemberFile("x.json", "{\"member\": " + deep + "}");
+  REQUIRE_FALSE(file.has_value());
+  CHECK(file.error()[0].value == "nested deeper than 32");
+}
+
+}  // namespace
+}  // namespace boragepaddle::schema
