--- a/src/boragepaddle/config/diff.cc
+++ b/src/boragepaddle/config/diff.cc
@@ -12,21 +12,17 @@
 
 namespace {
 
-struct Leaf {
-  std::string service;
-  std::string operation;
-  std::string value;
-};
+using Json = nlohmann::json;
 
-// Leaves of one file by key path.
-struct FlatFile {
+// One changed file after parsing.
+struct FileTree {
   std::string name;
   std::string member;
-  std::map<std::string, Leaf> leaves;
+  Json json;
 };
 
-std::string Dump(const nlohmann::json& json) {
-  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 // Stands for a text that is not JSON and may be as large as a file.
@@ -38,7 +34,7 @@
 
 // Returns the value that identifies an entry of a list; empty if there is
 // none.
-std::string NameOf(const nlohmann::json& entry) {
+std::string NameOf(const Json& entry) {
   for (const char* key : {"name", "member"}) {
     if (entry.is_object() && entry.contains(key) && entry[key].is_string()) {
       return entry[key].get<std::string>();
@@ -47,163 +43,190 @@
   return "";
 }
 
-bool IsListOfObjects(const nlohmann::json& json) {
-  return json.is_array() && !json.empty() && json.front().is_object();
+bool IsListOfObjects(const Json* json) {
+  return json != nullptr && json->is_array() && !json->empty() &&
+         json->front().is_object();
 }
 
-class Flattener {
- public:
-  explicit Flattener(FlatFile* out) : out(out) {}
-
-  void AddObject(const nlohmann::json& json, const std::string& path) {
-    for (const auto& item : json.items()) {
-      const std::string key =
-          path.empty() ? item.key() : absl::StrCat(path, ".", item.key());
-      if (IsListOfObjects(item.value())) {
-        this->AddList(item.value(), item.key(), key);
-      } else {
-        this->AddLeaf(key, item.value());
+bool IsBranch(const Json* json) {
+  return IsListOfObjects(json) ||
+         (json != nullptr && json->is_object() && !json->empty());
+}
+
+using Entries = std::map<std::string, const Json*>;
+
+// Names replace positions in paths, so that an entry added in front does not
+// change the paths of all the others.
+Entries EntriesOf(const Json* json) {
+  Entries entries;
+  if (IsListOfObjects(json)) {
+    for (size_t index = 0; index < json->size(); ++index) {
+      std::string name = NameOf((*json)[index]);
+      if (name.empty() || entries.count(name) > 0) {
+        absl::StrAppend(&name, "#", index);
       }
+      entries[name] = &(*json)[index];
+    }
+  } else if (json != nullptr && json->is_object()) {
+    for (const auto& item : json->items()) {
+      entries[item.key()] = &item.value();
     }
   }
+  return entries;
+}
 
- private:
-  void AddLeaf(const std::string& path, const nlohmann::json& value) {
-    this->out->leaves[path] = {this->service, this->operation, Dump(value)};
+const Json* Find(const Entries& entries, const std::string& name) {
+  const auto found = entries.find(name);
+  return found == entries.end() ? nullptr : found->second;
+}
+
+// Compares two trees and descends only where they differ, since one change
+// usually touches a few keys of a large file.
+class TreeDiff {
+ public:
+  // Null stands for a tree that does not exist.
+  TreeDiff(const FileTree* from,
+           const FileTree* to,
+           std::vector<Change>* changes)
+      : from(from), to(to), changes(changes) {}
+
+  void Run() {
+    if (this->from != nullptr && this->to != nullptr &&
+        this->from->name != this->to->name) {
+      this->Add("(file name)", this->from->name, this->to->name);
+    }
+    this->Compare(this->from == nullptr ? nullptr : &this->from->json,
+                  this->to == nullptr ? nullptr : &this->to->json, "", "");
   }
 
-  // Names replace positions in paths, so that an entry added in front does
-  // not change the paths of all the others.
-  void AddList(const nlohmann::json& list,
-               const std::string& list_key,
+ private:
+  void Compare(const Json* old_json,
+               const Json* new_json,
+               const std::string& key,
                const std::string& path) {
-    for (size_t index = 0; index < list.size(); ++index) {
-      std::string name = NameOf(list[index]);
-      if (name.empty()) {
-        name = absl::StrCat(index);
-      }
-      std::string key = absl::StrCat(path, "[", name, "]");
-      while (this->keys[key]++ > 0) {
-        absl::StrAppend(&key, "#", index);
-      }
-      if (!list[index].is_object()) {
-        this->AddLeaf(key, list[index]);
-        continue;
-      }
-      std::string* scope = list_key == "services"     ? &this->service
-                           : list_key == "operations" ? &this->operation
-                                                      : nullptr;
-      if (scope != nullptr) {
-        *scope = name;
-      }
-      this->AddObject(list[index], key);
-      if (scope != nullptr) {
-        scope->clear();
-      }
+    if (old_json != nullptr && new_json != nullptr && *old_json == *new_json) {
+      return;
+    }
+    if (!IsBranch(old_json) && !IsBranch(new_json)) {
+      this->Add(path, old_json == nullptr ? "" : Dump(*old_json),
+                new_json == nullptr ? "" : Dump(*new_json));
+      return;
+    }
+    this->AddReplaced(old_json, new_json, path);
+    const bool is_list = IsListOfObjects(old_json) || IsListOfObjects(new_json);
+    const Entries old_entries = EntriesOf(old_json);
+    const Entries new_entries = EntriesOf(new_json);
+    Entries all = old_entries;
+    all.insert(new_entries.begin(), new_entries.end());
+    for (const auto& [name, entry] : all) {
+      this->CompareEntry(Find(old_entries, name), Find(new_entries, name),
+                         is_list ? key : "", name, path);
     }
   }
 
-  FlatFile* out;
+  // `list` is the key of the list that holds the entry; empty for a key of an
+  // object.
+  void CompareEntry(const Json* old_json,
+                    const Json* new_json,
+                    const std::string& list,
+                    const std::string& name,
+                    const std::string& path) {
+    if (list.empty()) {
+      this->Compare(old_json, new_json, name,
+                    path.empty() ? name : absl::StrCat(path, ".", name));
+      return;
+    }
+    std::string* scope = list == "services"     ? &this->service
+                         : list == "operations" ? &this->operation
+                                                : nullptr;
+    if (scope != nullptr) {
+      *scope = name;
+    }
+    this->Compare(old_json, new_json, "", absl::StrCat(path, "[", name, "]"));
+    if (scope != nullptr) {
+      scope->clear();
+    }
+  }
+
+  // Reports a plain value that became a list or an object, or the reverse;
+  // the keys of the other side are reported one by one.
+  void AddReplaced(const Json* old_json,
+                   const Json* new_json,
+                   const std::string& path) {
+    if (old_json != nullptr && !IsBranch(old_json) && !old_json->empty()) {
+      this->Add(path, Dump(*old_json), "");
+    }
+    if (new_json != nullptr && !IsBranch(new_json) && !new_json->empty()) {
+      this->Add(path, "", Dump(*new_json));
+    }
+  }
+
+  void Add(const std::string& path,
+           std::string old_value,
+           std::string new_value) {
+    const FileTree& file = this->to != nullptr ? *this->to : *this->from;
+    this->changes->push_back({file.member, file.name, this->service,
+                              this->operation, path, std::move(old_value),
+                              std::move(new_value)});
+  }
+
+  const FileTree* from;
+  const FileTree* to;
+  std::vector<Change>* changes;
   std::string service;
   std::string operation;
-  std::map<std::string, int> keys;
 };
 
-FlatFile Flatten(const std::string& name, const std::string& text) {
-  FlatFile flat;
-  flat.name = name;
-  nlohmann::json json;
+FileTree Parse(const std::string& name, const std::string& text) {
+  FileTree file;
+  file.name = name;
   schema::SettingsErrors ignored;
-  if (!schema::ParseJson(name, text, &json, &ignored) || !json.is_object()) {
-    flat.leaves[""] = {"", "", Summary(text)};
-    return flat;
+  if (!schema::ParseJson(name, text, &file.json, &ignored)) {
+    file.json = Summary(text);
   }
-  if (json.contains("member") && json["member"].is_string()) {
-    flat.member = json["member"].get<std::string>();
+  if (file.json.is_object() && file.json.contains("member") &&
+      file.json["member"].is_string()) {
+    file.member = file.json["member"].get<std::string>();
   }
-  Flattener(&flat).AddObject(json, "");
-  return flat;
+  return file;
 }
 
 // Files that differ, by member, or by file name if the member is unknown or
 // has two files.
-std::map<std::string, FlatFile> FlattenChanged(const Folder& folder,
-                                               const Folder& other) {
-  std::map<std::string, FlatFile> files;
+std::map<std::string, FileTree> ChangedTrees(const Folder& folder,
+                                             const Folder& other) {
+  std::map<std::string, FileTree> files;
   for (const auto& [name, text] : folder) {
     const auto same = other.find(name);
     if (same != other.end() && same->second == text) {
       continue;
     }
-    FlatFile flat = Flatten(name, text);
+    FileTree file = Parse(name, text);
     std::string key =
-        flat.member.empty() ? absl::StrCat("/", name) : flat.member;
+        file.member.empty() ? absl::StrCat("/", name) : file.member;
     if (files.count(key) > 0) {
       key = absl::StrCat("/", name);
     }
-    files.emplace(std::move(key), std::move(flat));
+    files.emplace(std::move(key), std::move(file));
   }
   return files;
 }
 
-const Leaf* FindLeaf(const FlatFile& file, const std::string& path) {
-  const auto found = file.leaves.find(path);
-  return found == file.leaves.end() ? nullptr : &found->second;
-}
-
-void AddChange(const FlatFile& from,
-               const FlatFile& to,
-               const std::string& path,
-               std::vector<Change>* changes) {
-  const Leaf* old_leaf = FindLeaf(from, path);
-  const Leaf* new_leaf = FindLeaf(to, path);
-  if (old_leaf != nullptr && new_leaf != nullptr &&
-      old_leaf->value == new_leaf->value) {
-    return;
-  }
-  const Leaf& leaf = new_leaf != nullptr ? *new_leaf : *old_leaf;
-  Change change;
-  change.member = to.member.empty() ? from.member : to.member;
-  change.file = to.name.empty() ? from.name : to.name;
-  change.service = leaf.service;
-  change.operation = leaf.operation;
-  change.path = path;
-  change.old_value = old_leaf == nullptr ? "" : old_leaf->value;
-  change.new_value = new_leaf == nullptr ? "" : new_leaf->value;
-  changes->push_back(std::move(change));
-}
-
-void DiffFile(const FlatFile& from,
-              const FlatFile& to,
-              std::vector<Change>* changes) {
-  if (!from.name.empty() && !to.name.empty() && from.name != to.name) {
-    changes->push_back(
-        {to.member, to.name, "", "", "(file name)", from.name, to.name});
-  }
-  std::map<std::string, Leaf> paths = from.leaves;
-  paths.insert(to.leaves.begin(), to.leaves.end());
-  for (const auto& [path, leaf] : paths) {
-    AddChange(from, to, path, changes);
-  }
-}
-
 }  // namespace
 
 std::vector<Change> Diff(const Folder& from, const Folder& to) {
-  const std::map<std::string, FlatFile> old_files = FlattenChanged(from, to);
-  const std::map<std::string, FlatFile> new_files = FlattenChanged(to, from);
-  std::map<std::string, std::pair<const FlatFile*, const FlatFile*>> pairs;
+  const std::map<std::string, FileTree> old_files = ChangedTrees(from, to);
+  const std::map<std::string, FileTree> new_files = ChangedTrees(to, from);
+  std::map<std::string, std::pair<const FileTree*, const FileTree*>> pairs;
   for (const auto& [key, file] : old_files) {
     pairs[key].first = &file;
   }
   for (const auto& [key, file] : new_files) {
     pairs[key].second = &file;
   }
-  const FlatFile none;
   std::vector<Change> changes;
   for (const auto& [key, pair] : pairs) {
-    DiffFile(pair.first == nullptr ? none : *pair.first,
-             pair.second == nullptr ? none : *pair.second, &changes);
+    TreeDiff(pair.first, pair.second, &changes).Run();
   }
   std::stable_sort(changes.begin(), changes.end(),
                    [](const Change& a, const Change& b) {
