--- a/src/boragepaddle/ctl/folder_commands.cc
+++ b/src/boragepaddle/ctl/folder_commands.cc
@@ -31,6 +31,16 @@
   return result;
 }
 
+CommandResult NoRule(const config::ConfigError& error, Format format) {
+  CommandResult result;
+  result.code = ExitCode::kNegative;
+  result.output =
+      format == Format::kJson
+          ? JsonText({{"faults", ToJson(config::ConfigErrors{error})}})
+          : Describe(error) + "\n";
+  return result;
+}
+
 Json AcceptedJson(const config::Folder& folder,
                   const config::ServiceTable& table) {
   Json json = {{"accepted", true},
@@ -107,7 +117,7 @@
       dot == absl::string_view::npos ? "" : call.substr(dot + 1);
   const auto explanation = config::Explain(*merged.value(), service, operation);
   if (!explanation.has_value()) {
-    return Refused(folder, {explanation.error()}, format);
+    return NoRule(explanation.error(), format);
   }
   CommandResult result;
   result.output = format == Format::kJson
--- a/src/boragepaddle/schema/json_reader.cc
+++ b/src/boragepaddle/schema/json_reader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_join.h"
 
@@ -26,6 +27,48 @@
   return text;
 }
 
+// Follows the parser and finds what it would accept silently.
+class DocumentCheck {
+ public:
+  // Returns false to leave the value out.
+  bool OnEvent(int depth,
+               nlohmann::json::parse_event_t event,
+               const nlohmann::json& value) {
+    using Event = nlohmann::json::parse_event_t;
+    this->too_deep |= depth > kMaxDepth;
+    if (this->too_deep) {
+      return false;
+    }
+    if (event == Event::object_start) {
+      this->open_objects.emplace_back();
+    } else if (event == Event::object_end) {
+      this->open_objects.pop_back();
+    } else if (event == Event::key) {
+      const auto& key = value.get_ref<const std::string&>();
+      if (!this->open_objects.back().insert(key).second) {
+        this->duplicate_key = key;
+      }
+    }
+    return true;
+  }
+
+  // Empty if there is none.
+  std::string Fault() const {
+    if (this->too_deep) {
+      return absl::StrCat("nested deeper than ", kMaxDepth);
+    }
+    if (!this->duplicate_key.empty()) {
+      return absl::StrCat("key ", this->duplicate_key, " twice in one object");
+    }
+    return "";
+  }
+
+ private:
+  bool too_deep = false;
+  std::string duplicate_key;
+  std::vector<absl::flat_hash_set<std::string>> open_objects;
+};
+
 }  // namespace
 
 JsonReader::JsonReader(const nlohmann::json& json,
@@ -219,15 +262,14 @@
                absl::string_view text,
                nlohmann::json* json,
                SettingsErrors* errors) {
-  bool too_deep = false;
-  const auto limit_depth = [&too_deep](int depth, nlohmann::json::parse_event_t,
-                                       nlohmann::json&) {
-    too_deep |= depth > kMaxDepth;
-    return depth <= kMaxDepth;
+  DocumentCheck check;
+  const auto on_event = [&check](int depth, nlohmann::json::parse_event_t event,
+                                 nlohmann::json& value) {
+    return check.OnEvent(depth, event, value);
   };
   std::string fault;
   try {
-    *json = nlohmann::json::parse(text, limit_depth, /*allow_exceptions=*/true,
+    *json = nlohmann::json::parse(text, on_event, /*allow_exceptions=*/true,
                                   /*ignore_comments=*/true);
   } catch (const nlohmann::json::parse_error& error) {
     fault = absl::StrCat("at byte ", error.byte);
@@ -235,8 +277,8 @@
     // The library reports a number that no type can hold in this way.
     fault = "number out of range";
   }
-  if (fault.empty() && too_deep) {
-    fault = absl::StrCat("nested deeper than ", kMaxDepth);
+  if (fault.empty()) {
+    fault = check.Fault();
   }
   if (fault.empty()) {
     return true;
--- a/tests/perf/config_benchmark.cc
+++ b/tests/perf/config_benchmark.cc
@@ -91,7 +91,8 @@
 void BM_OfferOneChangedFile(benchmark::State& state) {
   Folder folder = MakeFolder(static_cast<int>(state.range(0)));
   VersionedConfig config(Founders(), 10000);
-  uint64_t version = 0;
+  uint64_t version = 1;
+  config.Offer(version, folder, absl::UnixEpoch());
   for (auto step : state) {
     folder["10.json"] += version % 2 == 0 ? " " : "\n";
     const OfferResult result =
--- a/tests/unit/json_reader_test.cc
+++ b/tests/unit/json_reader_test.cc
@@ -21,5 +21,14 @@
   CHECK(file.error()[0].value == "nested deeper than 32");
 }
 
+// The parser keeps the last value, so that a second at_most_once key could
+// switch the protection off unseen.
+TEST_CASE("json reader: a key that occurs twice is a fault") {
+  const auto file = ReadMemberFile(
+      "x.json", R"({"member": "m", "services": [], "member": "n"})");
+  REQUIRE_FALSE(file.has_value());
+  CHECK(file.error()[0].value == "key member twice in one object");
+}
+
 }  // namespace
 }  // namespace boragepaddle::schema
