--- a/src/apps/boragepaddlectl.cc
+++ b/src/apps/boragepaddlectl.cc
@@ -51,7 +51,7 @@
   --timeout_ms=N            bound for the node's answer, default 5000
   --help, --version
 
-Exit codes: 0 done; 1 refused, different or no such rule; 2 wrong usage;
+Exit codes: 0 done; 1 wrong usage; 2 refused, different or no such rule;
 3 file unreadable; 4 node unreachable; 5 node answered with an error.
 )";
 
--- a/src/boragepaddle/config/diff.cc
+++ b/src/boragepaddle/config/diff.cc
@@ -5,7 +5,10 @@
 #include <tuple>
 #include <utility>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
+#include "boragepaddle/config/rule_keys.h"
+#include "boragepaddle/config/tree_diff.h"
 #include "boragepaddle/schema/json_reader.h"
 
 namespace boragepaddle::config {
@@ -14,17 +17,12 @@
 
 using Json = nlohmann::json;
 
-// One changed file after parsing.
-struct FileTree {
-  std::string name;
-  std::string member;
-  Json json;
+// Two versions of one member's file; null if it does not exist.
+struct FilePair {
+  const ParsedFile* from = nullptr;
+  const ParsedFile* to = nullptr;
 };
 
-std::string Dump(const Json& json) {
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 // Stands for a text that is not JSON and may be as large as a file.
 std::string Summary(const std::string& text) {
   const uint64_t digest = DigestOf({{"", text}});
@@ -32,201 +30,95 @@
                       absl::Hex(digest, absl::kZeroPad16), ")");
 }
 
-// Returns the value that identifies an entry of a list; empty if there is
-// none.
-std::string NameOf(const Json& entry) {
-  for (const char* key : {"name", "member"}) {
-    if (entry.is_object() && entry.contains(key) && entry[key].is_string()) {
-      return entry[key].get<std::string>();
-    }
-  }
-  return "";
+bool IsValid(const ParsedFile* file) {
+  return file == nullptr || file->faults.empty();
 }
 
-bool IsListOfObjects(const Json* json) {
-  return json != nullptr && json->is_array() && !json->empty() &&
-         json->front().is_object();
+// The file as written, for a file with faults.
+FileTree RawTree(const ParsedFile& file) {
+  FileTree tree = {file.name, file.member, Json()};
+  schema::SettingsErrors ignored;
+  if (!schema::ParseJson(file.name, file.text, &tree.json, &ignored)) {
+    tree.json = Summary(file.text);
+  }
+  return tree;
 }
 
-bool IsBranch(const Json* json) {
-  return IsListOfObjects(json) ||
-         (json != nullptr && json->is_object() && !json->empty());
-}
+using Services = absl::flat_hash_map<std::string, const schema::ServiceRule*>;
 
-using Entries = std::map<std::string, const Json*>;
-
-// Names replace positions in paths, so that an entry added in front does not
-// change the paths of all the others.
-Entries EntriesOf(const Json* json) {
-  Entries entries;
-  if (IsListOfObjects(json)) {
-    for (size_t index = 0; index < json->size(); ++index) {
-      std::string name = NameOf((*json)[index]);
-      if (name.empty() || entries.count(name) > 0) {
-        absl::StrAppend(&name, "#", index);
-      }
-      entries[name] = &(*json)[index];
-    }
-  } else if (json != nullptr && json->is_object()) {
-    for (const auto& item : json->items()) {
-      entries[item.key()] = &item.value();
+Services ServicesOf(const ParsedFile* file) {
+  Services services;
+  if (file != nullptr) {
+    for (const schema::ServiceRule& service : file->content.services) {
+      services.emplace(service.name, &service);
     }
   }
-  return entries;
-}
-
-const Json* Find(const Entries& entries, const std::string& name) {
-  const auto found = entries.find(name);
-  return found == entries.end() ? nullptr : found->second;
+  return services;
 }
 
-// Compares two trees and descends only where they differ, since one change
-// usually touches a few keys of a large file.
-class TreeDiff {
- public:
-  // Null stands for a tree that does not exist.
-  TreeDiff(const FileTree* from,
-           const FileTree* to,
-           std::vector<Change>* changes)
-      : from(from), to(to), changes(changes) {}
-
-  void Run() {
-    if (this->from != nullptr && this->to != nullptr &&
-        this->from->name != this->to->name) {
-      this->Add("(file name)", this->from->name, this->to->name);
-    }
-    this->Compare(this->from == nullptr ? nullptr : &this->from->json,
-                  this->to == nullptr ? nullptr : &this->to->json, "", "");
+// The content without the services that are the same in `other`: parsing the
+// whole text again costs several times as much as checking the folder.
+FileTree ReducedTree(const ParsedFile& file, const ParsedFile* other) {
+  FileTree tree = {file.name, file.member, {{"member", file.member}}};
+  for (const schema::Approval& approval : file.content.approves) {
+    tree.json["approves"].push_back(
+        {{"member", approval.member}, {"order", approval.order}});
   }
-
- private:
-  void Compare(const Json* old_json,
-               const Json* new_json,
-               const std::string& key,
-               const std::string& path) {
-    if (old_json != nullptr && new_json != nullptr && *old_json == *new_json) {
-      return;
-    }
-    if (!IsBranch(old_json) && !IsBranch(new_json)) {
-      this->Add(path, old_json == nullptr ? "" : Dump(*old_json),
-                new_json == nullptr ? "" : Dump(*new_json));
-      return;
-    }
-    this->AddReplaced(old_json, new_json, path);
-    const bool is_list = IsListOfObjects(old_json) || IsListOfObjects(new_json);
-    const Entries old_entries = EntriesOf(old_json);
-    const Entries new_entries = EntriesOf(new_json);
-    Entries all = old_entries;
-    all.insert(new_entries.begin(), new_entries.end());
-    for (const auto& [name, entry] : all) {
-      this->CompareEntry(Find(old_entries, name), Find(new_entries, name),
-                         is_list ? key : "", name, path);
-    }
-  }
-
-  // `list` is the key of the list that holds the entry; empty for a key of an
-  // object.
-  void CompareEntry(const Json* old_json,
-                    const Json* new_json,
-                    const std::string& list,
-                    const std::string& name,
-                    const std::string& path) {
-    if (list.empty()) {
-      this->Compare(old_json, new_json, name,
-                    path.empty() ? name : absl::StrCat(path, ".", name));
-      return;
-    }
-    std::string* scope = list == "services"     ? &this->service
-                         : list == "operations" ? &this->operation
-                                                : nullptr;
-    if (scope != nullptr) {
-      *scope = name;
-    }
-    this->Compare(old_json, new_json, "", absl::StrCat(path, "[", name, "]"));
-    if (scope != nullptr) {
-      scope->clear();
+  const Services others = ServicesOf(other);
+  for (const schema::ServiceRule& service : file.content.services) {
+    const auto same = others.find(service.name);
+    if (same == others.end() || *same->second != service) {
+      tree.json["services"].push_back(ToJson(service));
     }
   }
+  return tree;
+}
 
-  // Reports a plain value that became a list or an object, or the reverse;
-  // the keys of the other side are reported one by one.
-  void AddReplaced(const Json* old_json,
-                   const Json* new_json,
-                   const std::string& path) {
-    if (old_json != nullptr && !IsBranch(old_json) && !old_json->empty()) {
-      this->Add(path, Dump(*old_json), "");
-    }
-    if (new_json != nullptr && !IsBranch(new_json) && !new_json->empty()) {
-      this->Add(path, "", Dump(*new_json));
+void DiffFile(const FilePair& pair, std::vector<Change>* changes) {
+  const bool valid = IsValid(pair.from) && IsValid(pair.to);
+  const auto tree_of = [&](const ParsedFile* file, const ParsedFile* other) {
+    if (file == nullptr) {
+      return FileTree();
     }
-  }
-
-  void Add(const std::string& path,
-           std::string old_value,
-           std::string new_value) {
-    const FileTree& file = this->to != nullptr ? *this->to : *this->from;
-    this->changes->push_back({file.member, file.name, this->service,
-                              this->operation, path, std::move(old_value),
-                              std::move(new_value)});
-  }
-
-  const FileTree* from;
-  const FileTree* to;
-  std::vector<Change>* changes;
-  std::string service;
-  std::string operation;
-};
-
-FileTree Parse(const std::string& name, const std::string& text) {
-  FileTree file;
-  file.name = name;
-  schema::SettingsErrors ignored;
-  if (!schema::ParseJson(name, text, &file.json, &ignored)) {
-    file.json = Summary(text);
-  }
-  if (file.json.is_object() && file.json.contains("member") &&
-      file.json["member"].is_string()) {
-    file.member = file.json["member"].get<std::string>();
-  }
-  return file;
+    return valid ? ReducedTree(*file, other) : RawTree(*file);
+  };
+  const FileTree from = tree_of(pair.from, pair.to);
+  const FileTree to = tree_of(pair.to, pair.from);
+  DiffTrees(pair.from == nullptr ? nullptr : &from,
+            pair.to == nullptr ? nullptr : &to, changes);
 }
 
 // Files that differ, by member, or by file name if the member is unknown or
 // has two files.
-std::map<std::string, FileTree> ChangedTrees(const Folder& folder,
-                                             const Folder& other) {
-  std::map<std::string, FileTree> files;
-  for (const auto& [name, text] : folder) {
+std::map<std::string, const ParsedFile*> ChangedIn(const ParsedFolder& folder,
+                                                   const ParsedFolder& other) {
+  std::map<std::string, const ParsedFile*> files;
+  for (const auto& [name, file] : folder) {
     const auto same = other.find(name);
-    if (same != other.end() && same->second == text) {
+    if (same != other.end() &&
+        (same->second == file || same->second->text == file->text)) {
       continue;
     }
-    FileTree file = Parse(name, text);
-    std::string key =
-        file.member.empty() ? absl::StrCat("/", name) : file.member;
-    if (files.count(key) > 0) {
-      key = absl::StrCat("/", name);
-    }
-    files.emplace(std::move(key), std::move(file));
+    const std::string by_name = absl::StrCat("/", name);
+    const bool unique = !file->member.empty() && files.count(file->member) == 0;
+    files.emplace(unique ? file->member : by_name, file.get());
   }
   return files;
 }
 
 }  // namespace
 
-std::vector<Change> Diff(const Folder& from, const Folder& to) {
-  const std::map<std::string, FileTree> old_files = ChangedTrees(from, to);
-  const std::map<std::string, FileTree> new_files = ChangedTrees(to, from);
-  std::map<std::string, std::pair<const FileTree*, const FileTree*>> pairs;
-  for (const auto& [key, file] : old_files) {
-    pairs[key].first = &file;
+std::vector<Change> Diff(const ParsedFolder& from, const ParsedFolder& to) {
+  std::map<std::string, FilePair> pairs;
+  for (const auto& [key, file] : ChangedIn(from, to)) {
+    pairs[key].from = file;
   }
-  for (const auto& [key, file] : new_files) {
-    pairs[key].second = &file;
+  for (const auto& [key, file] : ChangedIn(to, from)) {
+    pairs[key].to = file;
   }
   std::vector<Change> changes;
   for (const auto& [key, pair] : pairs) {
-    TreeDiff(pair.first, pair.second, &changes).Run();
+    DiffFile(pair, &changes);
   }
   std::stable_sort(changes.begin(), changes.end(),
                    [](const Change& a, const Change& b) {
@@ -236,4 +128,9 @@
   return changes;
 }
 
+std::vector<Change> Diff(const Folder& from, const Folder& to) {
+  const ParsedFolder old_files = ParseFolder(from, {});
+  return Diff(old_files, ParseFolder(to, old_files));
+}
+
 }  // namespace boragepaddle::config
--- a/src/boragepaddle/config/diff.h
+++ b/src/boragepaddle/config/diff.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "boragepaddle/config/folder.h"
+#include "boragepaddle/config/parsed_folder.h"
 
 namespace boragepaddle::config {
 
@@ -19,15 +20,19 @@
   std::string operation;
   /// Key path with names for positions, such as `services[lending].slots`.
   std::string path;
-  /// JSON text; empty if the key was absent.
+  /// JSON text; empty if the key was absent or had the default value.
   std::string old_value;
-  /// JSON text; empty if the key is absent.
+  /// JSON text; empty if the key is absent or has the default value.
   std::string new_value;
 };
 
-/// Returns the changed keys by member, service, operation and key path.
+/// Returns the changed keys by member, service, operation and key path. A key
+/// with the default value counts as absent.
 std::vector<Change> Diff(const Folder& from, const Folder& to);
 
+/// As above, for files that are already parsed.
+std::vector<Change> Diff(const ParsedFolder& from, const ParsedFolder& to);
+
 }  // namespace boragepaddle::config
 
 #endif  // BORAGEPADDLE_CONFIG_DIFF_H_
--- a/src/boragepaddle/config/explain.cc
+++ b/src/boragepaddle/config/explain.cc
@@ -1,62 +1,21 @@
 #include "boragepaddle/config/explain.h"
 
-#include <nlohmann/json.hpp>
-
 #include "absl/strings/str_cat.h"
 #include "boragepaddle/config/call_graph.h"
+#include "boragepaddle/config/rule_keys.h"
 
 namespace boragepaddle::config {
 
 namespace {
 
-// Collects keys with the prefix of one rule.
-class KeyList {
- public:
-  KeyList(std::string path, std::vector<ExplainedKey>* keys)
-      : path(std::move(path)), keys(keys) {}
-
-  template <typename T>
-  void Add(absl::string_view key, const T& value, const T& default_value) {
-    this->keys->push_back({absl::StrCat(this->path, ".", key),
-                           nlohmann::json(value).dump(),
-                           value == default_value});
-  }
-
-  void AddClass(schema::CallClass value, schema::CallClass default_value) {
-    this->Add("class", std::string(schema::ToString(value)),
-              std::string(schema::ToString(default_value)));
+template <typename Rule>
+void AddKeys(const std::string& path,
+             const Rule& rule,
+             std::vector<ExplainedKey>* keys) {
+  for (const RuleKey& key : KeysOf(rule)) {
+    keys->push_back(
+        {absl::StrCat(path, ".", key.name), key.value.dump(), key.is_default});
   }
-
- private:
-  std::string path;
-  std::vector<ExplainedKey>* keys;
-};
-
-void AddOperationKeys(const OperationEntry& operation,
-                      std::vector<ExplainedKey>* keys) {
-  const schema::OperationRule& rule = operation.rule;
-  const schema::OperationRule defaults;
-  KeyList list(operation.path, keys);
-  list.AddClass(rule.call_class, defaults.call_class);
-  list.Add("idempotent", rule.idempotent, defaults.idempotent);
-  list.Add("at_most_once", rule.at_most_once, defaults.at_most_once);
-  list.Add("retry_on_unknown", rule.retry_on_unknown,
-           defaults.retry_on_unknown);
-  list.Add("retry_tokens", rule.retry_tokens, defaults.retry_tokens);
-  list.Add("deadline_ms", rule.deadline_ms, defaults.deadline_ms);
-  list.Add("calls", rule.calls, defaults.calls);
-}
-
-void AddServiceKeys(const ServiceEntry& service,
-                    std::vector<ExplainedKey>* keys) {
-  const schema::ServiceRule& rule = service.rule;
-  const schema::ServiceRule defaults;
-  KeyList list(service.path, keys);
-  list.Add("slots", rule.slots, defaults.slots);
-  list.Add("connections", rule.connections, defaults.connections);
-  list.Add("retry_ratio_percent", rule.retry_ratio_percent,
-           defaults.retry_ratio_percent);
-  list.Add("queue_target_ms", rule.queue_target_ms, defaults.queue_target_ms);
 }
 
 std::string RetryReason(const OperationEntry& operation) {
@@ -126,8 +85,8 @@
   explanation.operation = entry->rule.name;
   explanation.member = owner.member;
   explanation.file = owner.file;
-  AddOperationKeys(*entry, &explanation.keys);
-  AddServiceKeys(owner, &explanation.keys);
+  AddKeys(entry->path, entry->rule, &explanation.keys);
+  AddKeys(owner.path, owner.rule, &explanation.keys);
   explanation.reaches_at_most_once = entry->reaches_at_most_once;
   explanation.idempotent_closure = entry->idempotent_closure;
   explanation.depth = entry->depth;
--- a/src/boragepaddle/config/versioned_config.cc
+++ b/src/boragepaddle/config/versioned_config.cc
@@ -46,8 +46,8 @@
   return errors.empty() ? "" : Describe(errors.front());
 }
 
-void Record(const Folder& from,
-            const Folder& to,
+void Record(const ParsedFolder& from,
+            const ParsedFolder& to,
             uint64_t version,
             const ConfigErrors& errors,
             absl::Time now,
@@ -104,8 +104,8 @@
   next->parsed = ParseFolder(folder, this->current->parsed);
   TableResult result = MergeParsed(next->parsed, this->founding_members);
   if (!result.has_value()) {
-    return this->Refuse(version, digest, folder, std::move(result).error(),
-                        now);
+    return this->Refuse(version, digest, next->parsed,
+                        std::move(result).error(), now);
   }
   next->version = version;
   next->digest = digest;
@@ -143,7 +143,7 @@
 
 void VersionedConfig::Accept(std::shared_ptr<const ConfigSnapshot> next,
                              absl::Time now) {
-  Record(this->current->folder, next->folder, next->version, {}, now,
+  Record(this->current->parsed, next->parsed, next->version, {}, now,
          &this->audit);
   this->current = std::move(next);
   if (this->refused_version <= this->current->version) {
@@ -154,10 +154,10 @@
 
 OfferResult VersionedConfig::Refuse(uint64_t version,
                                     uint64_t digest,
-                                    const Folder& folder,
+                                    const ParsedFolder& parsed,
                                     ConfigErrors errors,
                                     absl::Time now) {
-  Record(this->current->folder, folder, version, errors, now, &this->audit);
+  Record(this->current->parsed, parsed, version, errors, now, &this->audit);
   if (version > this->refused_version) {
     this->refused_version = version;
     this->refused_digest = digest;
--- a/src/boragepaddle/config/versioned_config.h
+++ b/src/boragepaddle/config/versioned_config.h
@@ -77,7 +77,7 @@
   void Accept(std::shared_ptr<const ConfigSnapshot> next, absl::Time now);
   OfferResult Refuse(uint64_t version,
                      uint64_t digest,
-                     const Folder& folder,
+                     const ParsedFolder& parsed,
                      ConfigErrors errors,
                      absl::Time now);
 
--- a/src/boragepaddle/ctl/command_result.h
+++ b/src/boragepaddle/ctl/command_result.h
@@ -9,9 +9,10 @@
 /// Exit codes of boragepaddlectl; documented in docs/operators-config.md.
 enum class ExitCode : uint8_t {
   kOk = 0,
+  /// gflags ends the program with 1 at an unknown flag.
+  kUsage = 1,
   /// The folder is refused, the folders differ, or the call has no rule.
-  kNegative = 1,
-  kUsage = 2,
+  kNegative = 2,
   /// A file or folder cannot be read.
   kUnreadable = 3,
   /// The node cannot be reached or does not answer in time.
--- a/tests/perf/config_benchmark.cc
+++ b/tests/perf/config_benchmark.cc
@@ -10,7 +10,6 @@
 namespace boragepaddle::config {
 namespace {
 
-constexpr int kMembers = 10;
 constexpr int kOperations = 5;
 constexpr int kLayers = 8;
 
@@ -42,20 +41,20 @@
   return absl::StrCat(text, "]}");
 }
 
-std::vector<std::string> Founders() {
+std::vector<std::string> Founders(int members) {
   std::vector<std::string> names;
-  for (int member = 0; member < kMembers; ++member) {
+  for (int member = 0; member < members; ++member) {
     names.push_back(absl::StrCat("member-", member));
   }
   return names;
 }
 
-Folder MakeFolder(int services) {
+Folder MakeFolder(int services, int members) {
   Folder folder;
-  const std::vector<std::string> founders = Founders();
-  for (int member = 0; member < kMembers; ++member) {
+  const std::vector<std::string> founders = Founders(members);
+  for (int member = 0; member < members; ++member) {
     std::string text;
-    for (int service = member; service < services; service += kMembers) {
+    for (int service = member; service < services; service += members) {
       absl::StrAppend(&text, text.empty() ? "" : ",\n",
                       ServiceText(service, services));
     }
@@ -75,8 +74,10 @@
 
 // Start of a node: every file is parsed.
 void BM_MergeFolder(benchmark::State& state) {
-  const Folder folder = MakeFolder(static_cast<int>(state.range(0)));
-  const std::vector<std::string> founders = Founders();
+  const Folder folder = MakeFolder(static_cast<int>(state.range(0)),
+                                   static_cast<int>(state.range(1)));
+  const std::vector<std::string> founders =
+      Founders(static_cast<int>(state.range(1)));
   for (auto step : state) {
     const TableResult table = MergeFolder(folder, founders);
     if (!table.has_value()) {
@@ -89,8 +90,9 @@
 
 // One change of a running node, with digest, check of the whole and audit.
 void BM_OfferOneChangedFile(benchmark::State& state) {
-  Folder folder = MakeFolder(static_cast<int>(state.range(0)));
-  VersionedConfig config(Founders(), 10000);
+  Folder folder = MakeFolder(static_cast<int>(state.range(0)),
+                             static_cast<int>(state.range(1)));
+  VersionedConfig config(Founders(static_cast<int>(state.range(1))), 10000);
   uint64_t version = 1;
   config.Offer(version, folder, absl::UnixEpoch());
   for (auto step : state) {
@@ -105,8 +107,9 @@
 }
 
 void BM_FindOperation(benchmark::State& state) {
-  const auto table =
-      MergeFolder(MakeFolder(static_cast<int>(state.range(0))), Founders());
+  const auto table = MergeFolder(MakeFolder(static_cast<int>(state.range(0)),
+                                            static_cast<int>(state.range(1))),
+                                 Founders(static_cast<int>(state.range(1))));
   const std::string service = ServiceName(static_cast<int>(state.range(0)) / 2);
   for (auto step : state) {
     benchmark::DoNotOptimize(
@@ -114,17 +117,20 @@
   }
 }
 
+// Services and members; one file of the target is at most 1 MB, so that 1,700
+// services need two members at least.
 BENCHMARK(BM_MergeFolder)
-    ->Arg(1)
-    ->Arg(100)
-    ->Arg(1700)
+    ->Args({1, 1})
+    ->Args({100, 10})
+    ->Args({1700, 10})
     ->Unit(benchmark::kMillisecond);
 BENCHMARK(BM_OfferOneChangedFile)
-    ->Arg(1)
-    ->Arg(100)
-    ->Arg(1700)
+    ->Args({1, 1})
+    ->Args({100, 10})
+    ->Args({1700, 10})
+    ->Args({1700, 2})
     ->Unit(benchmark::kMillisecond);
-BENCHMARK(BM_FindOperation)->Arg(1)->Arg(100)->Arg(1700);
+BENCHMARK(BM_FindOperation)->Args({1, 1})->Args({100, 10})->Args({1700, 10});
 
 }  // namespace
 }  // namespace boragepaddle::config
--- a/tests/unit/config_version_test.cc
+++ b/tests/unit/config_version_test.cc
@@ -1,6 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <fstream>
+#include <set>
+
 #include "boragepaddle/config/diff.h"
+#include "boragepaddle/config/rule_keys.h"
 #include "boragepaddle/config/versioned_config.h"
 #include "tests/unit/config_folders.h"
 
@@ -96,6 +100,38 @@
   CHECK(config.Audit().Dropped() > 0);
 }
 
+// A key of the schema that is missing here would change without a trace.
+TEST_CASE("diff: every key of the schema is compared") {
+  std::ifstream stream(BORAGEPADDLE_SOURCE_DIR "/schema/settings.json");
+  const nlohmann::json document = nlohmann::json::parse(stream);
+  size_t compared = 0;
+  for (const auto& rule : document["structs"]) {
+    std::vector<RuleKey> keys;
+    if (rule["name"] == "OperationRule") {
+      keys = KeysOf(schema::OperationRule());
+    } else if (rule["name"] == "ServiceRule") {
+      keys = KeysOf(schema::ServiceRule());
+    } else {
+      continue;
+    }
+    std::set<std::string> names = {"name", "operations"};
+    for (const RuleKey& key : keys) {
+      names.insert(key.name);
+    }
+    for (const auto& field : rule["fields"]) {
+      CHECK(names.count(field["name"].get<std::string>()) == 1);
+      ++compared;
+    }
+  }
+  CHECK(compared >= 14);
+}
+
+TEST_CASE("diff: a value that is not valid is still shown") {
+  const std::vector<Change> changes = Diff(kGood, {{"10-a.json", "{"}});
+  REQUIRE_FALSE(changes.empty());
+  CHECK(changes[0].new_value.find("not JSON: 1 bytes") != std::string::npos);
+}
+
 // Positions in paths would report every later entry as changed.
 TEST_CASE("diff: an entry added in front changes no other path") {
   const Folder from = {{"a", FileOf("a", "", Service("s", ""))}};
