--- a/tests/perf/config_benchmark.cc
+++ b/tests/perf/config_benchmark.cc
@@ -43,6 +43,7 @@
 
 std::vector<std::string> Founders(int members) {
   std::vector<std::string> names;
+  names.reserve(members);
   for (int member = 0; member < members; ++member) {
     names.push_back(absl::StrCat("member-", member));
   }
@@ -73,7 +74,7 @@
 }
 
 // Start of a node: every file is parsed.
-void BM_MergeFolder(benchmark::State& state) {
+void BenchmarkMergeFolder(benchmark::State& state) {
   const Folder folder = MakeFolder(static_cast<int>(state.range(0)),
                                    static_cast<int>(state.range(1)));
   const std::vector<std::string> founders =
@@ -89,7 +90,7 @@
 }
 
 // One change of a running node, with digest, check of the whole and audit.
-void BM_OfferOneChangedFile(benchmark::State& state) {
+void BenchmarkOfferOneChangedFile(benchmark::State& state) {
   Folder folder = MakeFolder(static_cast<int>(state.range(0)),
                              static_cast<int>(state.range(1)));
   VersionedConfig config(Founders(static_cast<int>(state.range(1))), 10000);
@@ -106,7 +107,7 @@
   }
 }
 
-void BM_FindOperation(benchmark::State& state) {
+void BenchmarkFindOperation(benchmark::State& state) {
   const auto table = MergeFolder(MakeFolder(static_cast<int>(state.range(0)),
                                             static_cast<int>(state.range(1))),
                                  Founders(static_cast<int>(state.range(1))));
@@ -119,18 +120,21 @@
 
 // Services and members; one file of the target is at most 1 MB, so that 1,700
 // services need two members at least.
-BENCHMARK(BM_MergeFolder)
+BENCHMARK(BenchmarkMergeFolder)
     ->Args({1, 1})
     ->Args({100, 10})
     ->Args({1700, 10})
     ->Unit(benchmark::kMillisecond);
-BENCHMARK(BM_OfferOneChangedFile)
+BENCHMARK(BenchmarkOfferOneChangedFile)
     ->Args({1, 1})
     ->Args({100, 10})
     ->Args({1700, 10})
     ->Args({1700, 2})
     ->Unit(benchmark::kMillisecond);
-BENCHMARK(BM_FindOperation)->Args({1, 1})->Args({100, 10})->Args({1700, 10});
+BENCHMARK(BenchmarkFindOperation)
+    ->Args({1, 1})
+    ->Args({100, 10})
+    ->Args({1700, 10});
 
 }  // namespace
 }  // namespace boragepaddle::config
--- a/tests/unit/config_folders.h
+++ b/tests/unit/config_folders.h
@@ -11,7 +11,9 @@
 namespace boragepaddle::config {
 
 /// Founding members of the test folders.
-inline const std::vector<std::string> kFounders = {"a", "b"};
+inline std::vector<std::string> Founders() {
+  return {"a", "b"};
+}
 
 /// Text of a member file; `approves` and `services` are the list contents.
 inline std::string FileOf(absl::string_view member,
@@ -41,7 +43,7 @@
 
 /// The only fault of a folder; terminates if there is none.
 inline ConfigError OnlyFault(const Folder& folder) {
-  const ConfigErrors errors = CheckFolder(folder, kFounders);
+  const ConfigErrors errors = CheckFolder(folder, Founders());
   return errors.size() == 1 ? errors[0] : ConfigErrors().at(errors.size());
 }
 
--- a/tests/unit/config_fuzz_test.cc
+++ b/tests/unit/config_fuzz_test.cc
@@ -83,11 +83,11 @@
 // versions arrived, and against crashes on damaged files.
 TEST_CASE("config fuzz: the verdict depends on the folder alone") {
   RandomFolders random;
-  VersionedConfig history(kFounders, 100);
+  VersionedConfig history(Founders(), 100);
   size_t accepted = 0;
   for (uint64_t version = 1; version <= 3000; ++version) {
     const Folder folder = random.Next();
-    const std::string verdict = Verdict(CheckFolder(folder, kFounders));
+    const std::string verdict = Verdict(CheckFolder(folder, Founders()));
     std::vector<std::pair<std::string, std::string>> files(folder.begin(),
                                                            folder.end());
     for (size_t index = files.size(); index > 1; --index) {
@@ -97,7 +97,7 @@
     for (const auto& [name, text] : files) {
       permuted[name] = text;
     }
-    CHECK(Verdict(CheckFolder(permuted, kFounders)) == verdict);
+    CHECK(Verdict(CheckFolder(permuted, Founders())) == verdict);
     CHECK(DigestOf(permuted) == DigestOf(folder));
 
     const OfferResult offer = history.Offer(version, folder, absl::UnixEpoch());
--- a/tests/unit/config_membership_test.cc
+++ b/tests/unit/config_membership_test.cc
@@ -15,7 +15,7 @@
 }
 
 std::vector<std::string> MembersOf(const Folder& folder) {
-  const TableResult table = MergeFolder(folder, kFounders);
+  const TableResult table = MergeFolder(folder, Founders());
   REQUIRE(table.has_value());
   std::vector<std::string> names;
   for (const Member& member : table.value()->GetMembership().members) {
@@ -29,7 +29,7 @@
 // Guards against a service of a member that not everybody has approved (R9).
 TEST_CASE("membership: a candidate has no effect before the last approval") {
   const TableResult waiting =
-      MergeFolder(WithCandidate(kApprovesC3, ""), kFounders);
+      MergeFolder(WithCandidate(kApprovesC3, ""), Founders());
   REQUIRE(waiting.has_value());
   CHECK(waiting.value()->FindService("cs") == nullptr);
   const Candidate& candidate =
@@ -38,7 +38,7 @@
   CHECK(candidate.missing_approvals == Names{"b"});
 
   const TableResult joined =
-      MergeFolder(WithCandidate(kApprovesC3, kApprovesC3), kFounders);
+      MergeFolder(WithCandidate(kApprovesC3, kApprovesC3), Founders());
   REQUIRE(joined.has_value());
   CHECK(joined.value()->FindService("cs") != nullptr);
 }
@@ -47,7 +47,7 @@
 TEST_CASE("membership: a faulty file of a candidate refuses nothing") {
   Folder folder = WithCandidate(kApprovesC3, "");
   folder["30-c.json"] = R"({"member": "c", "services": 7})";
-  CHECK(CheckFolder(folder, kFounders).empty());
+  CHECK(CheckFolder(folder, Founders()).empty());
   folder["20-b.json"] = FileOf("b", kApprovesC3, "");
   CHECK(OnlyFault(folder).code == ConfigErrorCode::kInvalidFile);
 }
@@ -55,7 +55,7 @@
 TEST_CASE("membership: two candidates for one order both wait") {
   Folder folder = WithCandidate(kApprovesC3, R"({"member": "d", "order": 3})");
   CHECK(MembersOf(folder) == Names{"a", "b"});
-  const auto table = MergeFolder(folder, kFounders);
+  const auto table = MergeFolder(folder, Founders());
   CHECK(table.value()->GetMembership().candidates.size() == 2);
 }
 
@@ -118,7 +118,7 @@
 TEST_CASE("membership: two files of one member are refused") {
   Folder folder = WithCandidate("", "");
   folder["00-x.json"] = FileOf("a", "", Service("x", ""));
-  const ConfigErrors errors = CheckFolder(folder, kFounders);
+  const ConfigErrors errors = CheckFolder(folder, Founders());
   REQUIRE(errors.size() == 2);
   CHECK(errors[0].code == ConfigErrorCode::kDuplicateMember);
   CHECK(errors[0].file == "00-x.json");
--- a/tests/unit/config_rules_test.cc
+++ b/tests/unit/config_rules_test.cc
@@ -82,7 +82,7 @@
 }
 
 TEST_CASE("config rules: a chain of 8 is accepted and a longer one refused") {
-  const auto table = MergeFolder(OneService(Chain(8)), kFounders);
+  const auto table = MergeFolder(OneService(Chain(8)), Founders());
   REQUIRE(table.has_value());
   CHECK(table.value()->FindOperation("s", "o8")->depth == 8);
   const ConfigError error = OnlyFault(OneService(Chain(20)));
@@ -94,7 +94,7 @@
 TEST_CASE("config rules: a service named by two members is refused") {
   Folder folder = OneService(Operation("o", ""));
   folder["20-b.json"] = FileOf("b", "", Service("s", ""));
-  const ConfigErrors errors = CheckFolder(folder, kFounders);
+  const ConfigErrors errors = CheckFolder(folder, Founders());
   REQUIRE(errors.size() == 2);
   CHECK(errors[0].code == ConfigErrorCode::kForeignService);
   CHECK(errors[1].file == "20-b.json");
@@ -108,7 +108,7 @@
         ConfigErrorCode::kBadName);
   const Folder folder = {
       {"a", FileOf("a", "", Join(Service("s", ""), Service("s", "")))}};
-  CHECK(CheckFolder(folder, kFounders).at(0).code ==
+  CHECK(CheckFolder(folder, Founders()).at(0).code ==
         ConfigErrorCode::kDuplicateService);
 }
 
@@ -122,7 +122,7 @@
 TEST_CASE("service table: look-up, owner and call graph") {
   const auto result = MergeFolder(
       OneService(Join(Operation("o", Calls("s.p")), Operation("p", kOnce))),
-      kFounders);
+      Founders());
   REQUIRE(result.has_value());
   const ServiceTable& table = *result.value();
   const OperationEntry& o = *table.FindOperation("s", "o");
--- a/tests/unit/config_version_test.cc
+++ b/tests/unit/config_version_test.cc
@@ -11,11 +11,21 @@
 namespace boragepaddle::config {
 namespace {
 
-const absl::Time kNow = absl::FromUnixSeconds(1000);
+absl::Time Now() {
+  return absl::FromUnixSeconds(1000);
+}
+
+Folder Good() {
+  return OneService(R"({"name": "o", "retry_tokens": 1})");
+}
 
-const Folder kGood = OneService(R"({"name": "o", "retry_tokens": 1})");
-const Folder kBetter = OneService(R"({"name": "o", "retry_tokens": 3})");
-const Folder kBad = OneService(R"({"name": "o", "retry_tokens": 99})");
+Folder Better() {
+  return OneService(R"({"name": "o", "retry_tokens": 3})");
+}
+
+Folder Bad() {
+  return OneService(R"({"name": "o", "retry_tokens": 99})");
+}
 
 TEST_CASE("digest: is fixed across builds and sees every byte") {
   // Nodes of different builds compare digests, so the value must not change.
@@ -25,66 +35,66 @@
 }
 
 TEST_CASE("versioned config: an older version never reverts a newer one") {
-  VersionedConfig config(kFounders, 10);
+  VersionedConfig config(Founders(), 10);
   CHECK(config.Current()->table->FindService("s") == nullptr);
-  CHECK(config.Offer(7, kBetter, kNow).outcome == OfferOutcome::kAccepted);
-  CHECK(config.Offer(6, kGood, kNow).outcome == OfferOutcome::kOlderVersion);
-  CHECK(config.Offer(7, kBetter, kNow).outcome == OfferOutcome::kSameVersion);
+  CHECK(config.Offer(7, Better(), Now()).outcome == OfferOutcome::kAccepted);
+  CHECK(config.Offer(6, Good(), Now()).outcome == OfferOutcome::kOlderVersion);
+  CHECK(config.Offer(7, Better(), Now()).outcome == OfferOutcome::kSameVersion);
   CHECK(config.Current()->version == 7);
 }
 
 TEST_CASE("versioned config: the last accepted version outlives a refusal") {
-  VersionedConfig config(kFounders, 10);
-  config.Offer(1, kGood, kNow);
-  const OfferResult refused = config.Offer(2, kBad, kNow);
+  VersionedConfig config(Founders(), 10);
+  config.Offer(1, Good(), Now());
+  const OfferResult refused = config.Offer(2, Bad(), Now());
   CHECK(refused.outcome == OfferOutcome::kRefused);
   CHECK(config.RefusedVersion() == 2);
   const auto& table = *config.Current()->table;
   CHECK(table.FindOperation("s", "o")->rule.retry_tokens == 1);
   const size_t entries = config.Audit().Entries().size();
   // Peers offer the same version again; it is neither checked nor audited.
-  CHECK(config.Offer(2, kBad, kNow).errors.size() == 1);
+  CHECK(config.Offer(2, Bad(), Now()).errors.size() == 1);
   CHECK(config.Audit().Entries().size() == entries);
-  CHECK(config.Offer(3, kBetter, kNow).outcome == OfferOutcome::kAccepted);
+  CHECK(config.Offer(3, Better(), Now()).outcome == OfferOutcome::kAccepted);
   CHECK(config.RefusedVersion() == 0);
 }
 
 TEST_CASE("versioned config: one version with two digests is an error") {
-  VersionedConfig config(kFounders, 10);
-  config.Offer(1, kGood, kNow);
-  const OfferResult in_force = config.Offer(1, kBetter, kNow);
+  VersionedConfig config(Founders(), 10);
+  config.Offer(1, Good(), Now());
+  const OfferResult in_force = config.Offer(1, Better(), Now());
   CHECK(in_force.outcome == OfferOutcome::kVersionConflict);
   CHECK(in_force.errors.at(0).code == ConfigErrorCode::kVersionConflict);
-  config.Offer(2, kBad, kNow);
-  CHECK(config.Offer(2, kBetter, kNow).outcome ==
+  config.Offer(2, Bad(), Now());
+  CHECK(config.Offer(2, Better(), Now()).outcome ==
         OfferOutcome::kVersionConflict);
   CHECK(config.Current()->version == 1);
 }
 
 TEST_CASE("versioned config: a delta from another base is refused") {
-  VersionedConfig config(kFounders, 10);
-  config.Offer(1, kGood, kNow);
-  const auto changes = ChangedFiles(kGood, kBetter);
-  const uint64_t digest = DigestOf(kBetter);
-  const OfferResult wrong = config.OfferDelta(2, digest + 1, changes, kNow);
+  VersionedConfig config(Founders(), 10);
+  config.Offer(1, Good(), Now());
+  const auto changes = ChangedFiles(Good(), Better());
+  const uint64_t digest = DigestOf(Better());
+  const OfferResult wrong = config.OfferDelta(2, digest + 1, changes, Now());
   CHECK(wrong.errors.at(0).code == ConfigErrorCode::kDigestMismatch);
   CHECK(config.RefusedVersion() == 0);
-  CHECK(config.OfferDelta(2, digest, changes, kNow).outcome ==
+  CHECK(config.OfferDelta(2, digest, changes, Now()).outcome ==
         OfferOutcome::kAccepted);
 }
 
 TEST_CASE("folder: changes turn one folder into the other") {
-  Folder to = kBetter;
+  Folder to = Better();
   to.erase("20-b.json");
   to["30-c.json"] = "{}";
-  CHECK(ApplyFiles(kGood, ChangedFiles(kGood, to)) == to);
-  CHECK(ChangedFiles(kGood, kGood).empty());
+  CHECK(ApplyFiles(Good(), ChangedFiles(Good(), to)) == to);
+  CHECK(ChangedFiles(Good(), Good()).empty());
 }
 
 TEST_CASE("audit: a refused change is recorded with its reason") {
-  VersionedConfig config(kFounders, 3);
-  config.Offer(1, kGood, kNow);
-  config.Offer(2, kBad, kNow);
+  VersionedConfig config(Founders(), 3);
+  config.Offer(1, Good(), Now());
+  config.Offer(2, Bad(), Now());
   const AuditEntry& entry = config.Audit().Entries().back();
   CHECK(entry.member == "a");
   CHECK(entry.file == "10-a.json");
@@ -94,7 +104,7 @@
   CHECK(entry.new_value == "99");
   CHECK(entry.verdict == AuditVerdict::kRefused);
   CHECK(entry.reason.find("99: out of range") != std::string::npos);
-  CHECK(entry.time == kNow);
+  CHECK(entry.time == Now());
   // The trail is bounded.
   CHECK(config.Audit().Entries().size() == 3);
   CHECK(config.Audit().Dropped() > 0);
@@ -127,7 +137,7 @@
 }
 
 TEST_CASE("diff: a value that is not valid is still shown") {
-  const std::vector<Change> changes = Diff(kGood, {{"10-a.json", "{"}});
+  const std::vector<Change> changes = Diff(Good(), {{"10-a.json", "{"}});
   REQUIRE_FALSE(changes.empty());
   CHECK(changes[0].new_value.find("not JSON: 1 bytes") != std::string::npos);
 }
