Add transport, first ingress and egress decisions, and the node daemon

The node serves a call from HTTP entry through a peer connection to the local worker and back. Policies are minimal: a bounded queue, pick of two and delegated retry tokens.

cpp-httplib's own connection loop polls every 10 ms and sleeps 1 ms, so the listener overrides it with a blocking poll on each connection.

--- /dev/null
+++ b/src/boragepaddle/daemon/message_router.cc
@@ -0,0 +1,41 @@
+#include "boragepaddle/daemon/message_router.h"
+
+#include <utility>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+
+namespace boragepaddle::daemon {
+
+MessageRouter::MessageRouter(IngressServer& ingress, AttemptTable& attempts)
+    : ingress(ingress), attempts(attempts) {}
+
+void MessageRouter::OnOpen(const PeerLinkPtr& link) {
+  this->ingress.OnLinkOpen(link);
+}
+
+void MessageRouter::OnMessage(const PeerLinkPtr& link,
+                              schema::Message message) {
+  if (auto* request = std::get_if<schema::CallRequest>(&message)) {
+    this->ingress.OnCallRequest(link, std::move(*request));
+  } else if (auto* answer = std::get_if<schema::CallAnswer>(&message)) {
+    // A late answer finds no waiting attempt and is dropped.
+    this->attempts.OnAnswer(link->id(), std::move(*answer));
+  } else if (auto* cancel = std::get_if<schema::CancelCall>(&message)) {
+    this->ingress.OnCancel(link, *cancel);
+  } else if (auto* grant = std::get_if<schema::TicketGrant>(&message)) {
+    this->attempts.OnGrant(link->id(), std::move(*grant));
+  }
+}
+
+void MessageRouter::OnClosed(const PeerLinkPtr& link) {
+  if (link->reason() != transport::LinkClose::kConnectionClosed &&
+      link->reason() != transport::LinkClose::kLocal) {
+    this->log.Warn(absl::StrCat("closed connection link=", link->id(),
+                                " reason=", ToString(link->reason())));
+  }
+  this->attempts.OnLinkClosed(link->id());
+  this->ingress.OnLinkClosed(link);
+}
+
+}  // namespace boragepaddle::daemon
--- /dev/null
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -0,0 +1,155 @@
+#include "boragepaddle/daemon/node_daemon.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boragepaddle/daemon/random_id.h"
+#include "boragepaddle/transport/clock.h"
+#include "boragepaddle/transport/socket.h"
+
+namespace boragepaddle::daemon {
+
+namespace {
+
+constexpr size_t kOperatorConnections = 32;
+constexpr uint32_t kStatusUnavailable = 503;
+
+transport::HttpListenerSettings ListenerSettings(size_t max_connections) {
+  transport::HttpListenerSettings settings;
+  settings.max_connections = max_connections;
+  settings.overflow_reply =
+      NotRunReply(schema::Reason::kTooManyConnections, kStatusUnavailable);
+  return settings;
+}
+
+}  // namespace
+
+NodeDaemon::NodeDaemon(const schema::NodeSettings& settings)
+    : settings(settings),
+      incarnation(RandomBits()),
+      worker(settings.upstream_address),
+      ingress(settings,
+              this->incarnation,
+              this->rules,
+              this->contexts,
+              this->worker),
+      router(this->ingress, this->attempts),
+      hub([this] { return this->MakeHello(); }, this->router),
+      egress({settings.availability_zone, settings.region},
+             this->hub,
+             this->attempts),
+      callers(this->rules, this->contexts, this->egress),
+      caller_listener(ListenerSettings(settings.max_connections),
+                      [this](const transport::HttpCall& http) {
+                        return this->callers.FromCaller(http);
+                      }),
+      worker_listener(ListenerSettings(settings.max_connections),
+                      [this](const transport::HttpCall& http) {
+                        return this->callers.FromWorker(http);
+                      }),
+      operator_listener(ListenerSettings(kOperatorConnections),
+                        [this](const transport::HttpCall& http) {
+                          return this->operators.Serve(http);
+                        }) {
+  this->AddOperatorHandlers();
+}
+
+NodeDaemon::~NodeDaemon() = default;
+
+base::Result<BoundAddresses, transport::TransportError> NodeDaemon::Start() {
+  auto socket = transport::Listen(this->settings.peer_address);
+  if (!socket) {
+    return socket.error();
+  }
+  this->peer_listener = std::make_unique<transport::PeerListener>(
+      std::move(socket.value()), [this](transport::Socket accepted) {
+        this->hub.Accept(std::move(accepted));
+      });
+  auto caller = this->caller_listener.Start(this->settings.caller_address);
+  if (!caller) {
+    return caller.error();
+  }
+  auto local = this->worker_listener.Start(this->settings.worker_address);
+  if (!local) {
+    return local.error();
+  }
+  auto operations =
+      this->operator_listener.Start(this->settings.operator_address);
+  if (!operations) {
+    return operations.error();
+  }
+  this->ingress.SetWorkerListener(local.value());
+  this->poller = std::make_unique<PlatformPoller>(
+      this->settings.platform_address, this->rules, this->egress);
+  return BoundAddresses{caller.value(), local.value(),
+                        this->peer_listener->address(), operations.value()};
+}
+
+void NodeDaemon::StartLeaving() {
+  if (this->leaving.exchange(true)) {
+    return;
+  }
+  this->ingress.StartLeaving();
+  this->hub.Broadcast(schema::Leaving{this->settings.vm_id, this->incarnation});
+}
+
+bool NodeDaemon::IsDrained() {
+  return this->ingress.IsDrained() && this->callers.active() == 0;
+}
+
+std::string NodeDaemon::DescribeWorkInFlight() {
+  return absl::StrCat("calls_at_worker=", this->ingress.in_flight(),
+                      " calls_of_callers=", this->callers.active());
+}
+
+schema::Hello NodeDaemon::MakeHello() {
+  schema::Hello hello;
+  hello.fleet = this->settings.fleet;
+  hello.vm_id = this->settings.vm_id;
+  hello.incarnation = this->incarnation;
+  hello.member = this->settings.member;
+  hello.service = this->settings.service;
+  hello.availability_zone = this->settings.availability_zone;
+  hello.region = this->settings.region;
+  hello.leaving = this->leaving;
+  hello.config_version = this->rules.Current()->version;
+  hello.sent_at_us = absl::ToUnixMicros(transport::MonotonicNow());
+  return hello;
+}
+
+void NodeDaemon::AddOperatorHandlers() {
+  this->operators.Add("GET /healthz", [](const transport::HttpCall&) {
+    return transport::HttpReply();
+  });
+  this->operators.Add("GET /readyz", [this](const transport::HttpCall&) {
+    transport::HttpReply reply;
+    const bool ready = this->rules.Current()->version > 0 && !this->leaving;
+    reply.status = ready ? 200 : kStatusUnavailable;
+    return reply;
+  });
+  this->operators.Add("GET /status", [this](const transport::HttpCall&) {
+    return this->Status();
+  });
+  this->operators.Add("POST /drain", [this](const transport::HttpCall&) {
+    this->drain = true;
+    return transport::HttpReply();
+  });
+}
+
+transport::HttpReply NodeDaemon::Status() {
+  transport::HttpReply reply;
+  const nlohmann::json json = {
+      {"vm_id", this->settings.vm_id},
+      {"service", this->settings.service},
+      {"incarnation", absl::StrCat(this->incarnation)},
+      {"leaving", this->leaving.load()},
+      {"config_version", this->rules.Current()->version},
+      {"calls_at_worker", this->ingress.in_flight()},
+      {"calls_of_callers", this->callers.active()},
+      {"connections", this->hub.Links().size()}};
+  reply.body = json.dump();
+  return reply;
+}
+
+}  // namespace boragepaddle::daemon
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -155,7 +155,7 @@
          a.incarnation == b.incarnation && a.member == b.member &&
          a.service == b.service && a.availability_zone == b.availability_zone &&
          a.region == b.region && a.leaving == b.leaving &&
-         a.config_version == b.config_version;
+         a.config_version == b.config_version && a.sent_at_us == b.sent_at_us;
 }
 
 bool operator!=(const Hello& a, const Hello& b) {
@@ -168,7 +168,7 @@
          a.call_class == b.call_class && a.deadline_us == b.deadline_us &&
          a.retry_tokens == b.retry_tokens && a.ticket == b.ticket &&
          a.at_most_once == b.at_most_once && a.fingerprint == b.fingerprint &&
-         a.body == b.body;
+         a.body == b.body && a.sent_at_us == b.sent_at_us;
 }
 
 bool operator!=(const CallRequest& a, const CallRequest& b) {
@@ -364,7 +364,7 @@
 }
 
 void Pack(Packer& packer, const Hello& value) {
-  packer.pack_array(9);
+  packer.pack_array(10);
   Pack(packer, value.fleet);
   Pack(packer, value.vm_id);
   Pack(packer, value.incarnation);
@@ -374,6 +374,7 @@
   Pack(packer, value.region);
   Pack(packer, value.leaving);
   Pack(packer, value.config_version);
+  Pack(packer, value.sent_at_us);
 }
 
 bool Unpack(const msgpack::object& object, Hello* value) {
@@ -387,11 +388,12 @@
   reader.Next(&value->region);
   reader.Next(&value->leaving);
   reader.Next(&value->config_version);
+  reader.Next(&value->sent_at_us);
   return reader.ok();
 }
 
 void Pack(Packer& packer, const CallRequest& value) {
-  packer.pack_array(11);
+  packer.pack_array(12);
   Pack(packer, value.attempt_id);
   Pack(packer, value.request_id);
   Pack(packer, value.service);
@@ -403,6 +405,7 @@
   Pack(packer, value.at_most_once);
   Pack(packer, value.fingerprint);
   Pack(packer, value.body);
+  Pack(packer, value.sent_at_us);
 }
 
 bool Unpack(const msgpack::object& object, CallRequest* value) {
@@ -418,6 +421,7 @@
   reader.Next(&value->at_most_once);
   reader.Next(&value->fingerprint);
   reader.Next(&value->body);
+  reader.Next(&value->sent_at_us);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -146,6 +146,8 @@
   std::string region;
   bool leaving = false;
   uint64_t config_version = 0;
+  /// Sender's monotonic clock when sent, in microseconds.
+  int64_t sent_at_us = 0;
 };
 /// Compares all fields.
 bool operator==(const Hello& a, const Hello& b);
@@ -170,6 +172,8 @@
   /// Hash of service, operation and body.
   uint64_t fingerprint = 0;
   std::string body;
+  /// Sender's monotonic clock when sent, in microseconds.
+  int64_t sent_at_us = 0;
 };
 /// Compares all fields.
 bool operator==(const CallRequest& a, const CallRequest& b);
--- /dev/null
+++ b/src/boragepaddle/transport/elastic_pool.h
@@ -0,0 +1,45 @@
+#ifndef BORAGEPADDLE_TRANSPORT_ELASTIC_POOL_H_
+#define BORAGEPADDLE_TRANSPORT_ELASTIC_POOL_H_
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace boragepaddle::transport {
+
+/// Runs tasks on threads that are started on demand, up to a limit. Tasks
+/// beyond the limit wait in order.
+class ElasticPool {
+ public:
+  explicit ElasticPool(size_t max_threads);
+
+  /// Waits until all threads have ended.
+  ~ElasticPool();
+
+  void Submit(std::function<void()> task);
+
+  /// Runs the task only if a thread is free or may be started; false if not.
+  bool TrySubmit(std::function<void()> task);
+
+  /// Refuses new tasks and lets the threads end after the queued ones.
+  void Stop();
+
+ private:
+  bool HasCapacity() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  void Enqueue(std::function<void()> task) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+  void Run();
+
+  const size_t max_threads;
+  absl::Mutex mutex;
+  std::deque<std::function<void()>> tasks ABSL_GUARDED_BY(mutex);
+  size_t threads ABSL_GUARDED_BY(mutex) = 0;
+  size_t idle ABSL_GUARDED_BY(mutex) = 0;
+  bool stopping ABSL_GUARDED_BY(mutex) = false;
+};
+
+}  // namespace boragepaddle::transport
+
+#endif  // BORAGEPADDLE_TRANSPORT_ELASTIC_POOL_H_
--- /dev/null
+++ b/src/boragepaddle/transport/frame.cc
@@ -0,0 +1,87 @@
+#include "boragepaddle/transport/frame.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <cerrno>
+#include <cstdint>
+#include <cstring>
+
+namespace boragepaddle::transport {
+
+namespace {
+
+TransportErrorCode CodeForErrno(int error) {
+  const bool timed_out = error == EAGAIN || error == EWOULDBLOCK;
+  return timed_out ? TransportErrorCode::kTimeout : TransportErrorCode::kClosed;
+}
+
+bool ReadAll(int fd, char* data, size_t size) {
+  size_t done = 0;
+  while (done < size) {
+    const ssize_t count = recv(fd, data + done, size - done, 0);
+    if (count > 0) {
+      done += static_cast<size_t>(count);
+      continue;
+    }
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count == 0) {
+      errno = 0;
+    }
+    return false;
+  }
+  return true;
+}
+
+bool WriteAll(int fd, const char* data, size_t size) {
+  size_t done = 0;
+  while (done < size) {
+    const ssize_t count = send(fd, data + done, size - done, MSG_NOSIGNAL);
+    if (count >= 0) {
+      done += static_cast<size_t>(count);
+    } else if (errno != EINTR) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+base::Result<std::string, TransportError> ReadFrame(const Socket& socket) {
+  uint32_t length = 0;
+  if (!ReadAll(socket.get(), reinterpret_cast<char*>(&length),
+               sizeof(length))) {
+    return TransportError{CodeForErrno(errno), errno};
+  }
+  const size_t size = ntohl(length);
+  if (size > kMaxFrameBytes) {
+    return TransportError{TransportErrorCode::kFrameTooLarge, 0};
+  }
+  std::string payload(size, '\0');
+  if (!ReadAll(socket.get(), payload.data(), size)) {
+    return TransportError{CodeForErrno(errno), errno};
+  }
+  return payload;
+}
+
+base::Result<size_t, TransportError> WriteFrame(const Socket& socket,
+                                                absl::string_view payload) {
+  if (payload.size() > kMaxFrameBytes) {
+    return TransportError{TransportErrorCode::kFrameTooLarge, 0};
+  }
+  // One send call per frame keeps a small frame in one segment.
+  const uint32_t length = htonl(static_cast<uint32_t>(payload.size()));
+  std::string frame(sizeof(length) + payload.size(), '\0');
+  std::memcpy(frame.data(), &length, sizeof(length));
+  std::memcpy(frame.data() + sizeof(length), payload.data(), payload.size());
+  if (!WriteAll(socket.get(), frame.data(), frame.size())) {
+    return TransportError{CodeForErrno(errno), errno};
+  }
+  return frame.size();
+}
+
+}  // namespace boragepaddle::transport
--- /dev/null
+++ b/src/boragepaddle/transport/http_listener.cc
@@ -0,0 +1,227 @@
+#include "boragepaddle/transport/http_listener.h"
+
+#include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <utility>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include "boragepaddle/transport/elastic_pool.h"
+#include "boragepaddle/transport/http_stream.h"
+#include "boragepaddle/transport/socket.h"
+
+namespace boragepaddle::transport {
+
+namespace {
+
+// cpp-httplib listens with a backlog of 5; the kernel then drops connections
+// of a surge before any admission decision is made.
+constexpr int kListenBacklog = 4096;
+
+/// True on a thread that serves a connection beyond the limit.
+thread_local bool serving_overflow = false;
+
+/// Hands connections to the main pool, or to the overflow pool if that is full.
+class ConnectionQueue : public httplib::TaskQueue {
+ public:
+  ConnectionQueue(size_t max_connections, size_t overflow_threads)
+      : connections(max_connections), overflow(overflow_threads) {}
+
+  void enqueue(std::function<void()> serve) override {
+    if (this->connections.TrySubmit(serve)) {
+      return;
+    }
+    this->overflow.Submit([serve = std::move(serve)] {
+      serving_overflow = true;
+      serve();
+    });
+  }
+
+  void shutdown() override {
+    this->connections.Stop();
+    this->overflow.Stop();
+  }
+
+ private:
+  ElasticPool connections;
+  ElasticPool overflow;
+};
+
+void FillResponse(const HttpReply& reply, httplib::Response& response) {
+  response.status = static_cast<int>(reply.status);
+  for (const HttpHeader& header : reply.headers) {
+    response.set_header(header.name, header.value);
+  }
+  response.set_content(reply.body, reply.content_type);
+}
+
+}  // namespace
+
+/// Serves each connection with our own loop: cpp-httplib's wakes up every 10 ms
+/// per idle connection and sleeps up to 1 ms before it sees a new request.
+class HttpListener::Impl : public httplib::Server {
+ public:
+  Impl(const HttpListenerSettings& settings, HttpHandler handler)
+      : settings(settings), handler(std::move(handler)) {
+    this->new_task_queue = [this] {
+      return new ConnectionQueue(this->settings.max_connections,
+                                 this->settings.overflow_threads);
+    };
+    this->set_payload_max_length(settings.max_body_bytes);
+    this->set_tcp_nodelay(true);
+    this->set_socket_options([this](socket_t fd) {
+      const int on = 1;
+      setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+      this->listen_fd = fd;
+    });
+    this->set_pre_routing_handler(
+        [this](const httplib::Request& request, httplib::Response& response) {
+          return this->Refuse(request, response);
+        });
+    const auto serve = [this](const httplib::Request& request,
+                              httplib::Response& response) {
+      this->Serve(request, response);
+    };
+    this->Get(".*", serve);
+    this->Post(".*", serve);
+    this->Put(".*", serve);
+  }
+
+  base::Result<std::string, TransportError> Bind(absl::string_view address) {
+    auto parsed = ParseAddress(address);
+    if (!parsed) {
+      return parsed.error();
+    }
+    const std::string& host = parsed.value().host;
+    int port = parsed.value().port;
+    if (port == 0) {
+      port = this->bind_to_any_port(host);
+    } else if (!this->bind_to_port(host, port)) {
+      port = -1;
+    }
+    if (port <= 0 || ::listen(this->listen_fd, kListenBacklog) != 0) {
+      return TransportError{TransportErrorCode::kCannotListen, errno};
+    }
+    return absl::StrCat(host, ":", port);
+  }
+
+  void Run() {
+    this->accept_thread = std::thread([this] { this->listen_after_bind(); });
+  }
+
+  void Shutdown() {
+    if (!this->accept_thread.joinable()) {
+      return;
+    }
+    this->stopping = true;
+    this->CloseIdle();
+    this->stop();
+    this->accept_thread.join();
+  }
+
+ private:
+  bool process_and_close_socket(socket_t fd) override {
+    this->ServeConnection(fd);
+    shutdown(fd, SHUT_RDWR);
+    close(fd);
+    return true;
+  }
+
+  void ServeConnection(socket_t fd) {
+    HttpStream stream(fd, this->settings.io_timeout);
+    while (!this->stopping) {
+      this->SetIdle(fd, true);
+      const bool readable = stream.WaitForRequest(this->settings.idle_timeout);
+      this->SetIdle(fd, false);
+      if (!readable) {
+        return;
+      }
+      bool closed = false;
+      const auto setup = [](httplib::Request&) {};
+      if (!this->process_request(stream, serving_overflow, closed, setup) ||
+          closed || serving_overflow) {
+        return;
+      }
+    }
+  }
+
+  HandlerResponse Refuse(const httplib::Request& /*request*/,
+                         httplib::Response& response) {
+    if (!serving_overflow) {
+      return HandlerResponse::Unhandled;
+    }
+    FillResponse(this->settings.overflow_reply, response);
+    return HandlerResponse::Handled;
+  }
+
+  void Serve(const httplib::Request& request, httplib::Response& response) {
+    HttpCall call;
+    call.method = request.method;
+    call.path = request.path;
+    call.body = request.body;
+    call.header = [&request](absl::string_view name) {
+      return request.get_header_value(std::string(name));
+    };
+    const int fd = current_fd;
+    call.connected = [fd] { return IsConnected(fd); };
+    FillResponse(this->handler(call), response);
+  }
+
+  void SetIdle(socket_t fd, bool idle) {
+    current_fd = fd;
+    absl::MutexLock lock(&this->mutex);
+    if (idle) {
+      this->idle_fds.insert(fd);
+    } else {
+      this->idle_fds.erase(fd);
+    }
+  }
+
+  void CloseIdle() {
+    absl::MutexLock lock(&this->mutex);
+    for (const socket_t fd : this->idle_fds) {
+      shutdown(fd, SHUT_RD);
+    }
+  }
+
+  static thread_local int current_fd;
+
+  const HttpListenerSettings settings;
+  const HttpHandler handler;
+  int listen_fd = -1;
+  std::atomic<bool> stopping{false};
+  std::thread accept_thread;
+  absl::Mutex mutex;
+  absl::flat_hash_set<socket_t> idle_fds ABSL_GUARDED_BY(mutex);
+};
+
+thread_local int HttpListener::Impl::current_fd = -1;
+
+HttpListener::HttpListener(const HttpListenerSettings& settings,
+                           HttpHandler handler)
+    : impl(std::make_unique<Impl>(settings, std::move(handler))) {}
+
+HttpListener::~HttpListener() {
+  this->Stop();
+}
+
+base::Result<std::string, TransportError> HttpListener::Start(
+    absl::string_view address) {
+  auto bound = this->impl->Bind(address);
+  if (bound) {
+    this->impl->Run();
+  }
+  return bound;
+}
+
+void HttpListener::Stop() {
+  this->impl->Shutdown();
+}
+
+}  // namespace boragepaddle::transport
--- /dev/null
+++ b/src/boragepaddle/transport/http_stream.h
@@ -0,0 +1,47 @@
+#ifndef BORAGEPADDLE_TRANSPORT_HTTP_STREAM_H_
+#define BORAGEPADDLE_TRANSPORT_HTTP_STREAM_H_
+
+#include <httplib.h>
+
+#include <array>
+#include <cstddef>
+#include <string>
+
+#include "absl/time/time.h"
+
+namespace boragepaddle::transport {
+
+/// Buffered stream over a connected socket, for cpp-httplib's parser.
+class HttpStream : public httplib::Stream {
+ public:
+  HttpStream(int fd, absl::Duration io_timeout);
+
+  /// Waits for the next request; false on timeout, end of stream or error.
+  bool WaitForRequest(absl::Duration idle_timeout);
+
+  bool is_readable() const override;
+  bool is_writable() const override;
+  ssize_t read(char* data, size_t size) override;
+  ssize_t write(const char* data, size_t size) override;
+  void get_remote_ip_and_port(std::string& ip, int& port) const override;
+  void get_local_ip_and_port(std::string& ip, int& port) const override;
+  socket_t socket() const override { return this->fd; }
+
+ private:
+  static constexpr size_t kBufferBytes = 4096;
+
+  bool Poll(int16_t events, absl::Duration timeout) const;
+
+  const int fd;
+  const absl::Duration io_timeout;
+  std::array<char, kBufferBytes> buffer;
+  size_t begin = 0;
+  size_t end = 0;
+};
+
+/// True while the peer has not closed its side of the connection.
+bool IsConnected(int fd);
+
+}  // namespace boragepaddle::transport
+
+#endif  // BORAGEPADDLE_TRANSPORT_HTTP_STREAM_H_
--- /dev/null
+++ b/src/boragepaddle/transport/peer_link.h
@@ -0,0 +1,98 @@
+#ifndef BORAGEPADDLE_TRANSPORT_PEER_LINK_H_
+#define BORAGEPADDLE_TRANSPORT_PEER_LINK_H_
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "absl/synchronization/mutex.h"
+#include "boragepaddle/schema/messages.h"
+#include "boragepaddle/transport/socket.h"
+
+namespace boragepaddle::transport {
+
+class PeerLink;
+
+/// Receives the events of links. Calls come from the links' reader threads.
+class PeerLinkHandler {
+ public:
+  virtual ~PeerLinkHandler() = default;
+
+  /// The peer's first frame was a valid Hello.
+  virtual void OnOpen(const std::shared_ptr<PeerLink>& link) = 0;
+  virtual void OnMessage(const std::shared_ptr<PeerLink>& link,
+                         schema::Message message) = 0;
+  /// No further events follow. Called once, also if OnOpen was not.
+  virtual void OnClosed(const std::shared_ptr<PeerLink>& link) = 0;
+};
+
+/// Why a link was closed.
+enum class LinkClose : uint8_t {
+  kOpen,
+  kConnectionClosed,
+  kBadFrame,
+  kNoHello,
+  kWrongFleet,
+  kLocal,
+};
+
+/// Returns the name of the value.
+const char* ToString(LinkClose value);
+
+/// One TCP connection to another node, with a reader thread of its own.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+ public:
+  /// Limits on a link.
+  struct Settings {
+    /// A peer that takes no data for this long is disconnected.
+    absl::Duration send_timeout = absl::Seconds(2);
+    /// The peer's Hello must arrive within this time.
+    absl::Duration hello_timeout = absl::Seconds(5);
+  };
+
+  PeerLink(uint64_t id,
+           Socket socket,
+           const Settings& settings,
+           PeerLinkHandler& handler);
+  ~PeerLink();
+
+  /// Sends our Hello and starts the reader thread.
+  void Start(const schema::Hello& own);
+
+  /// Sends a message; false if the link is closed. Bytes that were accepted
+  /// by the kernel count as sent.
+  bool Send(const schema::Message& message);
+
+  /// Closes the connection; the reader thread then reports OnClosed.
+  void Close(LinkClose reason = LinkClose::kLocal);
+
+  uint64_t id() const { return this->link_id; }
+  bool open() const { return this->close_reason == LinkClose::kOpen; }
+  LinkClose reason() const { return this->close_reason; }
+
+  /// The peer's Hello; valid from OnOpen on.
+  const schema::Hello& peer() const { return this->peer_hello; }
+
+  uint64_t bytes_sent() const { return this->sent; }
+  uint64_t bytes_received() const { return this->received; }
+
+ private:
+  void ReadLoop(const std::string& fleet);
+  bool ReadHello(const std::string& fleet);
+
+  const uint64_t link_id;
+  Socket socket;
+  const Settings settings;
+  PeerLinkHandler& handler;
+  schema::Hello peer_hello;
+  absl::Mutex write_mutex;
+  std::atomic<LinkClose> close_reason{LinkClose::kOpen};
+  std::atomic<uint64_t> sent{0};
+  std::atomic<uint64_t> received{0};
+};
+
+}  // namespace boragepaddle::transport
+
+#endif  // BORAGEPADDLE_TRANSPORT_PEER_LINK_H_
--- /dev/null
+++ b/src/boragepaddle/transport/worker_client.cc
@@ -0,0 +1,129 @@
+#include "boragepaddle/transport/worker_client.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include "boragepaddle/transport/clock.h"
+
+namespace boragepaddle::transport {
+
+using node::WorkerAnswer;
+using node::WorkerCallEnd;
+
+namespace {
+
+// Shorter than the idle timeout of usual HTTP servers (5 s), so that a call is
+// not sent on a connection that the worker is about to close.
+constexpr absl::Duration kMaxIdle = absl::Seconds(3);
+constexpr absl::Duration kConnectTimeout = absl::Seconds(1);
+
+struct KeptClient {
+  std::unique_ptr<httplib::Client> client;
+  absl::Time last_used;
+};
+
+// Without a length or chunks, a truncated body looks like a whole one.
+bool HasDelimitedBody(const httplib::Response& response) {
+  return response.has_header("Content-Length") ||
+         response.get_header_value("Transfer-Encoding") == "chunked" ||
+         response.status == 204;
+}
+
+WorkerAnswer FromFailure(httplib::Error error, bool expired) {
+  WorkerAnswer answer;
+  if (error == httplib::Error::Connection ||
+      error == httplib::Error::BindIPAddress) {
+    answer.end = WorkerCallEnd::kNotSent;
+  } else {
+    answer.end = expired ? WorkerCallEnd::kTimeout : WorkerCallEnd::kBroken;
+  }
+  return answer;
+}
+
+}  // namespace
+
+class WorkerClient::Impl {
+ public:
+  explicit Impl(absl::string_view address)
+      : url(absl::StrCat("http://", address)) {}
+
+  WorkerAnswer Post(absl::string_view path,
+                    absl::Span<const HttpHeader> headers,
+                    absl::string_view body,
+                    absl::Duration timeout) {
+    const absl::Time give_up = MonotonicNow() + timeout;
+    std::unique_ptr<httplib::Client> client = this->Take();
+    client->set_read_timeout(absl::ToChronoMicroseconds(timeout));
+    client->set_write_timeout(absl::ToChronoMicroseconds(timeout));
+    httplib::Headers fields;
+    for (const HttpHeader& header : headers) {
+      fields.emplace(header.name, header.value);
+    }
+    const httplib::Result result =
+        client->Post(std::string(path), fields, std::string(body),
+                     "application/octet-stream");
+    if (!result) {
+      return FromFailure(result.error(), MonotonicNow() >= give_up);
+    }
+    if (!HasDelimitedBody(result.value())) {
+      return FromFailure(httplib::Error::Read, false);
+    }
+    WorkerAnswer answer;
+    answer.end = WorkerCallEnd::kAnswered;
+    answer.status = static_cast<uint32_t>(result->status);
+    answer.content_type = result->get_header_value("Content-Type");
+    answer.body = result->body;
+    this->Keep(std::move(client));
+    return answer;
+  }
+
+ private:
+  std::unique_ptr<httplib::Client> Take() {
+    {
+      absl::MutexLock lock(&this->mutex);
+      const absl::Time oldest = MonotonicNow() - kMaxIdle;
+      const auto expired = [oldest](const KeptClient& kept) {
+        return kept.last_used < oldest;
+      };
+      auto& list = this->kept;
+      list.erase(std::remove_if(list.begin(), list.end(), expired), list.end());
+      if (!list.empty()) {
+        auto client = std::move(list.back().client);
+        list.pop_back();
+        return client;
+      }
+    }
+    auto client = std::make_unique<httplib::Client>(this->url);
+    client->set_keep_alive(true);
+    client->set_tcp_nodelay(true);
+    client->set_connection_timeout(absl::ToChronoMicroseconds(kConnectTimeout));
+    return client;
+  }
+
+  void Keep(std::unique_ptr<httplib::Client> client) {
+    absl::MutexLock lock(&this->mutex);
+    this->kept.push_back({std::move(client), MonotonicNow()});
+  }
+
+  const std::string url;
+  absl::Mutex mutex;
+  std::vector<KeptClient> kept ABSL_GUARDED_BY(mutex);
+};
+
+WorkerClient::WorkerClient(absl::string_view address)
+    : impl(std::make_unique<Impl>(address)) {}
+
+WorkerClient::~WorkerClient() = default;
+
+WorkerAnswer WorkerClient::Post(absl::string_view path,
+                                absl::Span<const HttpHeader> headers,
+                                absl::string_view body,
+                                absl::Duration timeout) {
+  return this->impl->Post(path, headers, body, timeout);
+}
+
+}  // namespace boragepaddle::transport
