--- /dev/null
+++ b/emulator/client_pool.h
@@ -0,0 +1,40 @@
+#ifndef EMULATOR_CLIENT_POOL_H_
+#define EMULATOR_CLIENT_POOL_H_
+
+#include <httplib.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+namespace emulator {
+
+/// Kept-alive HTTP clients by address. A client whose request failed is
+/// dropped, since a late answer could follow on its connection.
+class ClientPool {
+ public:
+  httplib::Result Post(const std::string& address,
+                       const std::string& path,
+                       const httplib::Headers& headers,
+                       const std::string& body,
+                       absl::Duration timeout);
+
+ private:
+  std::unique_ptr<httplib::Client> Take(const std::string& address);
+  void Return(const std::string& address,
+              std::unique_ptr<httplib::Client> client);
+
+  absl::Mutex mutex;
+  absl::flat_hash_map<std::string,
+                      std::vector<std::unique_ptr<httplib::Client>>>
+      idle ABSL_GUARDED_BY(mutex);
+};
+
+}  // namespace emulator
+
+#endif  // EMULATOR_CLIENT_POOL_H_
--- /dev/null
+++ b/emulator/platform_document.cc
@@ -0,0 +1,77 @@
+#include "emulator/platform_document.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace emulator {
+namespace {
+
+constexpr size_t kKeptRevisions = 64;
+// A lagging revision becomes visible without an event, so watches look again.
+constexpr absl::Duration kWatchStep = absl::Milliseconds(50);
+
+}  // namespace
+
+PlatformDocument::PlatformDocument(std::string content_key,
+                                   nlohmann::json content)
+    : content_key(std::move(content_key)) {
+  absl::MutexLock lock(&this->mutex);
+  this->revisions.push_back({0, absl::InfinitePast(), std::move(content)});
+}
+
+uint64_t PlatformDocument::Put(nlohmann::json content) {
+  absl::MutexLock lock(&this->mutex);
+  const uint64_t number = this->revisions.back().number + 1;
+  this->revisions.push_back({number, absl::Now(), std::move(content)});
+  if (this->revisions.size() > kKeptRevisions) {
+    this->revisions.pop_front();
+  }
+  this->changed.SignalAll();
+  return number;
+}
+
+std::string PlatformDocument::Get() {
+  absl::MutexLock lock(&this->mutex);
+  return this->ToText(this->Visible());
+}
+
+bool PlatformDocument::WaitForNewer(uint64_t after, absl::Time deadline) {
+  absl::MutexLock lock(&this->mutex);
+  while (this->Visible().number <= after && absl::Now() < deadline) {
+    const absl::Time step = absl::Now() + kWatchStep;
+    this->changed.WaitWithDeadline(&this->mutex, std::min(step, deadline));
+  }
+  return this->Visible().number > after;
+}
+
+void PlatformDocument::SetNewestShown(uint64_t revision) {
+  absl::MutexLock lock(&this->mutex);
+  this->newest_shown = revision;
+  this->changed.SignalAll();
+}
+
+void PlatformDocument::SetLag(absl::Duration lag) {
+  absl::MutexLock lock(&this->mutex);
+  this->lag = lag;
+  this->changed.SignalAll();
+}
+
+const PlatformDocument::Revision& PlatformDocument::Visible() const {
+  const absl::Time newest_time = absl::Now() - this->lag;
+  for (auto it = this->revisions.rbegin(); it != this->revisions.rend(); ++it) {
+    const bool shown =
+        this->newest_shown == 0 || it->number <= this->newest_shown;
+    if (shown && it->stored <= newest_time) {
+      return *it;
+    }
+  }
+  return this->revisions.front();
+}
+
+std::string PlatformDocument::ToText(const Revision& revision) const {
+  nlohmann::json json = {{"revision", revision.number}};
+  json[this->content_key] = revision.content;
+  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace emulator
