--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -28,6 +28,7 @@
 NodeDaemon::NodeDaemon(const schema::NodeSettings& settings)
     : settings(settings),
       incarnation(RandomBits()),
+      rules(settings.founding_members),
       worker(settings.upstream_address),
       ingress(settings,
               this->incarnation,
@@ -131,6 +132,11 @@
   this->operators.Add("GET /status", [this](const transport::HttpCall&) {
     return this->Status();
   });
+  this->operators.Add("GET /audit", [this](const transport::HttpCall&) {
+    transport::HttpReply reply;
+    reply.body = this->rules.AuditJson();
+    return reply;
+  });
   this->operators.Add("POST /drain", [this](const transport::HttpCall&) {
     this->drain = true;
     return transport::HttpReply();
--- a/src/boragepaddle/daemon/platform_poller.cc
+++ b/src/boragepaddle/daemon/platform_poller.cc
@@ -2,7 +2,6 @@
 
 #include <httplib.h>
 
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
@@ -67,18 +66,14 @@
   if (!json.is_object()) {
     return;
   }
-  auto rules = std::make_shared<Rules>();
-  rules->version = json.value("revision", 0);
+  config::Folder folder;
   for (const auto& item : json["files"].items()) {
-    const auto text = item.value().get<std::string>();
-    const auto file = schema::ReadMemberFile(item.key(), text);
-    if (!file) {
-      this->log.Warn(schema::Describe(file.error()[0]));
-      return;
-    }
-    AddRules(file.value(), *rules);
+    folder[item.key()] = item.value().get<std::string>();
+  }
+  const uint64_t revision = json.value("revision", uint64_t{0});
+  if (revision > 0) {
+    this->rules.Offer(revision, std::move(folder));
   }
-  this->rules.Install(std::move(rules));
 }
 
 void PlatformPoller::PollVms() {
--- a/src/boragepaddle/daemon/rule_book.h
+++ b/src/boragepaddle/daemon/rule_book.h
@@ -4,42 +4,53 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
-#include "absl/container/flat_hash_map.h"
+#include "absl/base/thread_annotations.h"
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/types/optional.h"
+#include "absl/types/span.h"
+#include "boragepaddle/config/versioned_config.h"
 #include "boragepaddle/node/call_rule.h"
-#include "boragepaddle/schema/settings.h"
 
 namespace boragepaddle::daemon {
 
-/// Rules of one accepted configuration version, by `service/operation`.
-struct Rules {
-  uint64_t version = 0;
-  absl::flat_hash_map<std::string, node::CallRule> operations;
-};
-
-/// Adds the rules of one member file.
-void AddRules(const schema::MemberFile& file, Rules& rules);
-
-/// Holds the rules in force. Readers take a snapshot.
+/// The configuration in force on this node, shared by all threads.
 class RuleBook {
  public:
-  /// Installs newer rules; older ones are ignored.
-  void Install(std::shared_ptr<const Rules> rules);
+  explicit RuleBook(std::vector<std::string> founding_members);
+
+  /// Offers a whole folder; see `config::VersionedConfig`.
+  config::OfferResult Offer(uint64_t version, config::Folder folder);
 
-  std::shared_ptr<const Rules> Current() const;
+  /// Offers changes to the version in force.
+  config::OfferResult OfferDelta(uint64_t version,
+                                 uint64_t digest,
+                                 absl::Span<const schema::FileText> changes);
+
+  /// Never null.
+  std::shared_ptr<const config::ConfigSnapshot> Current() const;
 
   absl::optional<node::CallRule> Find(absl::string_view service,
                                       absl::string_view operation) const;
 
+  /// The audit trail as JSON.
+  std::string AuditJson() const;
+
  private:
-  mutable absl::Mutex mutex;
-  std::shared_ptr<const Rules> current ABSL_GUARDED_BY(mutex) =
-      std::make_shared<Rules>();
+  // Checking a folder may take long, so that it has a lock of its own.
+  mutable absl::Mutex config_mutex;
+  config::VersionedConfig versions ABSL_GUARDED_BY(config_mutex);
+  mutable absl::Mutex snapshot_mutex;
+  std::shared_ptr<const config::ConfigSnapshot> snapshot
+      ABSL_GUARDED_BY(snapshot_mutex);
 };
 
+/// Returns the rule of an operation as the call path uses it.
+node::CallRule ToCallRule(const config::ServiceTable& table,
+                          const config::OperationEntry& operation);
+
 }  // namespace boragepaddle::daemon
 
 #endif  // BORAGEPADDLE_DAEMON_RULE_BOOK_H_
