--- a/src/boragepaddle/daemon/caller_service.cc
+++ b/src/boragepaddle/daemon/caller_service.cc
@@ -45,8 +45,9 @@
 
 CallerService::CallerService(RuleBook& rules,
                              RequestContexts& contexts,
-                             EgressClient& egress)
-    : rules(rules), contexts(contexts), egress(egress) {}
+                             EgressClient& egress,
+                             metrics::CallMetrics& metrics)
+    : rules(rules), contexts(contexts), egress(egress), metrics(metrics) {}
 
 HttpReply CallerService::FromCaller(const HttpCall& http) {
   auto target = this->Resolve(http);
@@ -125,7 +126,15 @@
 node::FinishCall CallerService::Run(node::EgressCall call,
                                     const HttpCall& http) {
   ++this->active_calls;
+  const std::string service = call.service;
+  metrics::CallSample sample;
+  sample.call_class = call.call_class;
+  const absl::Time begin = transport::MonotonicNow();
   node::FinishCall finish = this->egress.Call(std::move(call), http.connected);
+  sample.latency = transport::MonotonicNow() - begin;
+  sample.outcome = finish.outcome;
+  sample.reason = finish.reason;
+  this->metrics.Record(service, sample);
   --this->active_calls;
   return finish;
 }
--- a/src/boragepaddle/daemon/caller_service.h
+++ b/src/boragepaddle/daemon/caller_service.h
@@ -8,6 +8,7 @@
 #include "boragepaddle/daemon/egress_client.h"
 #include "boragepaddle/daemon/request_contexts.h"
 #include "boragepaddle/daemon/rule_book.h"
+#include "boragepaddle/metrics/call_metrics.h"
 #include "boragepaddle/node/egress.h"
 #include "boragepaddle/transport/http_message.h"
 
@@ -19,7 +20,8 @@
  public:
   CallerService(RuleBook& rules,
                 RequestContexts& contexts,
-                EgressClient& egress);
+                EgressClient& egress,
+                metrics::CallMetrics& metrics);
 
   /// A request on the caller port: always a new root request.
   transport::HttpReply FromCaller(const transport::HttpCall& http);
@@ -44,6 +46,7 @@
   RuleBook& rules;
   RequestContexts& contexts;
   EgressClient& egress;
+  metrics::CallMetrics& metrics;
   std::atomic<uint32_t> active_calls{0};
 };
 
--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -40,7 +40,7 @@
       egress({settings.availability_zone, settings.region},
              this->hub,
              this->attempts),
-      callers(this->rules, this->contexts, this->egress),
+      callers(this->rules, this->contexts, this->egress, this->call_metrics),
       caller_listener(ListenerSettings(settings.max_connections),
                       [this](const transport::HttpCall& http) {
                         return this->callers.FromCaller(http);
@@ -132,6 +132,12 @@
   this->operators.Add("GET /status", [this](const transport::HttpCall&) {
     return this->Status();
   });
+  this->operators.Add("GET /metrics", [this](const transport::HttpCall&) {
+    transport::HttpReply reply;
+    reply.content_type = "text/plain; version=0.0.4";
+    reply.body = this->call_metrics.ToText("boragepaddle_egress");
+    return reply;
+  });
   this->operators.Add("GET /audit", [this](const transport::HttpCall&) {
     transport::HttpReply reply;
     reply.body = this->rules.AuditJson();
--- a/src/boragepaddle/daemon/node_daemon.h
+++ b/src/boragepaddle/daemon/node_daemon.h
@@ -18,6 +18,7 @@
 #include "boragepaddle/daemon/platform_poller.h"
 #include "boragepaddle/daemon/request_contexts.h"
 #include "boragepaddle/daemon/rule_book.h"
+#include "boragepaddle/metrics/call_metrics.h"
 #include "boragepaddle/schema/settings.h"
 #include "boragepaddle/transport/http_listener.h"
 #include "boragepaddle/transport/peer_listener.h"
@@ -64,6 +65,7 @@
   const Logger log{"node"};
   std::atomic<bool> leaving{false};
   std::atomic<bool> drain{false};
+  metrics::CallMetrics call_metrics;
   RuleBook rules;
   RequestContexts contexts;
   transport::WorkerClient worker;
