--- /dev/null
+++ b/src/boragepaddle/daemon/rule_book.h
@@ -0,0 +1,56 @@
+#ifndef BORAGEPADDLE_DAEMON_RULE_BOOK_H_
+#define BORAGEPADDLE_DAEMON_RULE_BOOK_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/strings/string_view.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/types/optional.h"
+#include "absl/types/span.h"
+#include "boragepaddle/config/versioned_config.h"
+#include "boragepaddle/node/call_rule.h"
+
+namespace boragepaddle::daemon {
+
+/// The configuration in force on this node, shared by all threads.
+class RuleBook {
+ public:
+  explicit RuleBook(std::vector<std::string> founding_members);
+
+  /// Offers a whole folder; see `config::VersionedConfig`.
+  config::OfferResult Offer(uint64_t version, config::Folder folder);
+
+  /// Offers changes to the version in force.
+  config::OfferResult OfferDelta(uint64_t version,
+                                 uint64_t digest,
+                                 absl::Span<const schema::FileText> changes);
+
+  /// Never null.
+  std::shared_ptr<const config::ConfigSnapshot> Current() const;
+
+  absl::optional<node::CallRule> Find(absl::string_view service,
+                                      absl::string_view operation) const;
+
+  /// The audit trail as JSON.
+  std::string AuditJson() const;
+
+ private:
+  // Checking a folder may take long, so that it has a lock of its own.
+  mutable absl::Mutex config_mutex;
+  config::VersionedConfig versions ABSL_GUARDED_BY(config_mutex);
+  mutable absl::Mutex snapshot_mutex;
+  std::shared_ptr<const config::ConfigSnapshot> snapshot
+      ABSL_GUARDED_BY(snapshot_mutex);
+};
+
+/// Returns the rule of an operation as the call path uses it.
+node::CallRule ToCallRule(const config::ServiceTable& table,
+                          const config::OperationEntry& operation);
+
+}  // namespace boragepaddle::daemon
+
+#endif  // BORAGEPADDLE_DAEMON_RULE_BOOK_H_
