--- a/src/boragepaddle/ctl/node_commands.cc
+++ b/src/boragepaddle/ctl/node_commands.cc
@@ -28,6 +28,9 @@
     return Failure(ExitCode::kNodeError, node,
                    absl::StrCat("HTTP status ", status, ": ", answer->body));
   }
+  if (answer->body.empty()) {
+    return Json::object();
+  }
   Json json = Json::parse(answer->body, nullptr, /*allow_exceptions=*/false);
   if (json.is_discarded()) {
     return Failure(ExitCode::kNodeError, node, "the answer is not JSON");
@@ -124,7 +127,9 @@
 }
 
 CommandResult Drain(const NodeTarget& node, Format format) {
-  return Print(Parse(node, ClientFor(node).Post("/drain")), format, &Lines);
+  return Print(
+      Parse(node, ClientFor(node).Post("/drain")), format,
+      [](const Json& json) { return "drain requested\n" + Lines(json); });
 }
 
 }  // namespace boragepaddle::ctl
--- a/tests/integration/ctl_test.py
+++ b/tests/integration/ctl_test.py
@@ -1,4 +1,5 @@
 """Exit codes and output of boragepaddlectl, on the examples and against a stand-in for a node."""
+import dataclasses
 import http.server
 import json
 import os
@@ -8,9 +9,16 @@
 import threading
 import unittest
 
+from mesh.caller import call
+from mesh.mesh import Mesh, read_config_folder
+from mesh.topology import Topology
+from mesh.wait import wait_until
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CTL = pathlib.Path(os.environ.get("BORAGEPADDLE_BUILD", ROOT / "build")) / "boragepaddlectl"
 EXAMPLES = ROOT / "examples"
+CONFIG = EXAMPLES / "two-members" / "config"
+TOPOLOGY = Topology.load(EXAMPLES / "two-members" / "topology.json")
 SETTINGS = "--settings=%s" % (EXAMPLES / "two-members" / "node.json")
 ENTRY = {"member": "a", "file": "10-a.json", "version": 7, "path": "services[s].slots", "old_value": "1",
          "new_value": "2", "verdict": "refused", "reason": "out of range", "time": "t"}
@@ -41,7 +49,7 @@
 
 class FolderCommands(unittest.TestCase):
     def test_examples_are_accepted(self):
-        folders = [EXAMPLES / "two-members" / "config", *sorted((EXAMPLES / "third-member").iterdir())]
+        folders = [CONFIG, *sorted((EXAMPLES / "third-member").iterdir())]
         for folder in folders:
             code, out, _ = ctl(SETTINGS, "check", folder)
             self.assertEqual(code, 0, out)
@@ -53,11 +61,11 @@
         self.assertEqual(members, [2, 2, 3])
 
     def test_topology_matches_the_rules(self):
-        topology = json.loads((EXAMPLES / "two-members" / "topology.json").read_text())
-        sized = {s["name"]: (r["member"], s["slots"], s["connections"])
-                 for r in topology["regions"] for s in r["services"]}
-        merged = json.loads(ctl(SETTINGS, "--json", "merge", EXAMPLES / "two-members" / "config")[1])
-        ruled = {s["service"]: (s["member"], s["slots"], s["connections"]) for s in merged["services"]}
+        merged = json.loads(ctl(SETTINGS, "--json", "merge", CONFIG)[1])
+        ruled = {s["service"]: (s["member"], s["slots"], s["connections"], {
+            o["operation"].split(".")[1]: o["calls"] for o in s["operations"]}) for s in merged["services"]}
+        sized = {s.name: (s.member, s.slots, s.connections, {
+            name: o.get("calls", []) for name, o in s.operations.items()}) for s in TOPOLOGY.services}
         self.assertEqual(sized, ruled)
 
     def test_refusal_and_unreadable_folder(self):
@@ -107,5 +115,25 @@
         self.assertEqual(ctl("--node=nonsense", "--timeout_ms=500", "status")[0], 4)
 
 
+class ExampleMesh(unittest.TestCase):
+    """Guards against examples that a node accepts but that do not serve, and against a tool that does not fit it."""
+
+    def test_every_operation_completes_and_a_node_drains(self):
+        topology = Topology(TOPOLOGY.fleet, TOPOLOGY.founding_members,
+                            [dataclasses.replace(service, workers=1) for service in TOPOLOGY.services])
+        with Mesh(topology, read_config_folder(CONFIG)) as mesh:
+            node = next(iter(mesh.nodes.values()))
+            for service in topology.services:
+                for operation in service.operations:
+                    answer = call(node.addresses["caller"], service.name, operation, json.dumps({"key": operation}))
+                    self.assertEqual((answer.outcome, answer.status), ("completed", 200), (service.name, answer))
+            operator = "--node=" + node.addresses["operator"]
+            self.assertEqual(json.loads(ctl(operator, "--json", "status")[1])["config_version"], 1)
+            verdicts = {e["verdict"] for e in json.loads(ctl(operator, "--json", "audit")[1])["entries"]}
+            self.assertEqual(verdicts, {"accepted"})
+            self.assertEqual(ctl(operator, "drain")[:2], (0, "drain requested\n"))
+            wait_until(lambda: not node.is_running(), 10, "end of the drained node")
+
+
 if __name__ == "__main__":
     unittest.main()
