--- a/src/boragepaddle/config/merged_rules.cc
+++ b/src/boragepaddle/config/merged_rules.cc
@@ -19,12 +19,15 @@
   });
 }
 
+// `path` is that of the rule; empty for the name of a member.
 void CheckName(absl::string_view name,
                const std::string& file,
-               std::string path,
+               absl::string_view path,
                ConfigErrors* errors) {
   if (!IsName(name)) {
-    errors->push_back({ConfigErrorCode::kBadName, file, std::move(path),
+    errors->push_back({ConfigErrorCode::kBadName, file,
+                       absl::StrCat(path, path.empty() ? "" : ".",
+                                    path.empty() ? "member" : "name"),
                        std::string(name), "the name has other characters",
                        "use letters, digits, '-' and '_'"});
   }
@@ -60,8 +63,7 @@
     operation.rule = rule.operations[index];
     operation.service = position;
     operation.path = absl::StrCat(service.path, ".operations[", index, "]");
-    const std::string name_path = absl::StrCat(operation.path, ".name");
-    CheckName(operation.rule.name, service.file, name_path, errors);
+    CheckName(operation.rule.name, service.file, operation.path, errors);
     const size_t next = rules->operations.size();
     const bool added =
         rules->operation_positions
@@ -69,7 +71,8 @@
             .second;
     if (!added) {
       errors->push_back({ConfigErrorCode::kDuplicateOperation, service.file,
-                         name_path, operation.rule.name,
+                         absl::StrCat(operation.path, ".name"),
+                         operation.rule.name,
                          "the service declares the operation twice",
                          "declare an operation once"});
     }
@@ -89,8 +92,7 @@
   service.member = member.name;
   service.file = member.file;
   service.path = absl::StrCat("services[", index, "]");
-  CheckName(rule.name, service.file, absl::StrCat(service.path, ".name"),
-            errors);
+  CheckName(rule.name, service.file, service.path, errors);
   const size_t position = rules->services.size();
   const auto [known, added] =
       rules->service_positions.emplace(rule.name, position);
@@ -102,6 +104,21 @@
   AddOperations(rule, position, rules, errors);
 }
 
+void Reserve(const ParsedFolder& folder, MergedRules* rules) {
+  size_t services = 0;
+  size_t operations = 0;
+  for (const auto& [name, file] : folder) {
+    services += file->content.services.size();
+    for (const schema::ServiceRule& service : file->content.services) {
+      operations += service.operations.size();
+    }
+  }
+  rules->services.reserve(services);
+  rules->operations.reserve(operations);
+  rules->service_positions.reserve(services);
+  rules->operation_positions.reserve(operations);
+}
+
 }  // namespace
 
 MergedRules MergeRules(const ParsedFolder& folder,
@@ -111,10 +128,11 @@
   for (const Member& member : membership.members) {
     if (!member.file.empty()) {
       owners[member.file] = &member;
-      CheckName(member.name, member.file, "member", errors);
+      CheckName(member.name, member.file, "", errors);
     }
   }
   MergedRules rules;
+  Reserve(folder, &rules);
   for (const auto& [name, file] : folder) {
     const auto owner = owners.find(name);
     if (owner == owners.end()) {
--- a/src/boragepaddle/schema/json_reader.cc
+++ b/src/boragepaddle/schema/json_reader.cc
@@ -40,12 +40,12 @@
       return false;
     }
     if (event == Event::object_start) {
-      this->open_objects.emplace_back();
+      this->Open();
     } else if (event == Event::object_end) {
-      this->open_objects.pop_back();
+      --this->open_count;
     } else if (event == Event::key) {
       const auto& key = value.get_ref<const std::string&>();
-      if (!this->open_objects.back().insert(key).second) {
+      if (!this->keys[this->open_count - 1].insert(key).second) {
         this->duplicate_key = key;
       }
     }
@@ -64,9 +64,20 @@
   }
 
  private:
+  void Open() {
+    if (this->open_count == this->keys.size()) {
+      this->keys.emplace_back();
+    }
+    this->keys[this->open_count].clear();
+    ++this->open_count;
+  }
+
   bool too_deep = false;
   std::string duplicate_key;
-  std::vector<absl::flat_hash_set<std::string>> open_objects;
+  // Keys of the open objects from the outermost. Closed objects leave their
+  // set for the next one, as a file has one object per operation.
+  std::vector<absl::flat_hash_set<std::string>> keys;
+  size_t open_count = 0;
 };
 
 }  // namespace
