--- a/tests/unit/config_membership_test.cc
+++ b/tests/unit/config_membership_test.cc
@@ -98,12 +98,22 @@
   CHECK(MembersOf(folder) == Names{"a", "b"});
 }
 
-TEST_CASE("membership: approvals stay valid when a member becomes founding") {
+TEST_CASE("membership: a removed file withdraws its approvals") {
+  Folder folder = WithCandidate(kApprovesC3, kApprovesC3);
+  folder.erase("20-b.json");
+  CHECK(MembersOf(folder) == Names{"a", "b"});
+}
+
+// Nodes with the old and the new settings serve side by side while a member
+// that left is taken out of the founding members.
+TEST_CASE("membership: old and new founding members give the same services") {
   const Folder folder = WithCandidate(kApprovesC3, kApprovesC3);
-  const auto table =
-      MergeFolder(folder, std::vector<std::string>{"a", "b", "c"});
-  REQUIRE(table.has_value());
-  CHECK(table.value()->FindService("cs") != nullptr);
+  for (const std::vector<std::string>& founders :
+       {Founders(), {"a", "b", "c"}, {"a", "c"}}) {
+    const auto table = MergeFolder(folder, founders);
+    REQUIRE(table.has_value());
+    CHECK(table.value()->FindService("cs") != nullptr);
+  }
 }
 
 TEST_CASE("membership: a file that sorts first gains nothing") {
