Add membership, dissemination and control decisions

Announcements name the tree that carries them, so that the trees of the second and third reader cover the subtrees below frozen nodes of the first.

--- /dev/null
+++ b/src/boragepaddle/dissemination/config_folder.h
@@ -0,0 +1,50 @@
+#ifndef BORAGEPADDLE_DISSEMINATION_CONFIG_FOLDER_H_
+#define BORAGEPADDLE_DISSEMINATION_CONFIG_FOLDER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "boragepaddle/base/result.h"
+#include "boragepaddle/membership/change_log.h"
+#include "boragepaddle/membership/version_error.h"
+#include "boragepaddle/schema/messages.h"
+
+namespace boragepaddle::dissemination {
+
+/// One version of the configuration folder as it is sent between nodes. Never
+/// changed after it is made, so that threads share it.
+struct ConfigFolder {
+  uint64_t version = 0;
+  uint64_t digest = 0;
+  /// Sorted by name; none is marked as removed.
+  std::vector<schema::FileText> files;
+};
+
+using ConfigFolderPtr = std::shared_ptr<const ConfigFolder>;
+
+/// Sorts the files and computes the digest.
+base::Result<ConfigFolderPtr, membership::VersionError> MakeFolder(
+    uint64_t version,
+    std::vector<schema::FileText> files);
+
+/// Applies a delta to a folder. The delta may start before the folder's version
+/// but not after it. The result must have the delta's digest.
+base::Result<ConfigFolderPtr, membership::VersionError> ApplyDelta(
+    const ConfigFolder& folder,
+    const schema::ConfigDelta& delta);
+
+/// Names of files that differ between two folders.
+std::vector<std::string> ChangedNames(const ConfigFolder& from,
+                                      const ConfigFolder& to);
+
+/// Delta from a version to `folder`; of all files if the log does not reach
+/// back.
+schema::ConfigDelta MakeDelta(const ConfigFolder& folder,
+                              const membership::ChangeLog& log,
+                              uint64_t from_version);
+
+}  // namespace boragepaddle::dissemination
+
+#endif  // BORAGEPADDLE_DISSEMINATION_CONFIG_FOLDER_H_
--- /dev/null
+++ b/src/boragepaddle/node/control_event.h
@@ -0,0 +1,46 @@
+#ifndef BORAGEPADDLE_NODE_CONTROL_EVENT_H_
+#define BORAGEPADDLE_NODE_CONTROL_EVENT_H_
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include "boragepaddle/dissemination/channel.h"
+#include "boragepaddle/schema/messages.h"
+
+namespace boragepaddle::node {
+
+/// The process has started and can send.
+struct ControlStarted {};
+
+/// Time has passed; expected every 100 ms.
+struct ControlTick {};
+
+/// A message from another node, named as in its Hello.
+struct PeerMessage {
+  dissemination::PeerName from;
+  schema::Message message;
+};
+
+/// The platform answered with a configuration.
+struct PlatformConfig {
+  uint64_t revision = 0;
+  std::vector<schema::FileText> files;
+};
+
+/// The platform answered with a VM list.
+struct PlatformList {
+  uint64_t revision = 0;
+  std::vector<schema::VmEntry> vms;
+};
+
+/// Input of the control decisions.
+using ControlEvent = std::variant<ControlStarted,
+                                  ControlTick,
+                                  PeerMessage,
+                                  PlatformConfig,
+                                  PlatformList>;
+
+}  // namespace boragepaddle::node
+
+#endif  // BORAGEPADDLE_NODE_CONTROL_EVENT_H_
--- /dev/null
+++ b/src/boragepaddle/node/control_exchange.cc
@@ -0,0 +1,174 @@
+#include "boragepaddle/node/control_exchange.h"
+
+#include <algorithm>
+#include <string>
+
+#include "boragepaddle/dissemination/zones.h"
+#include "boragepaddle/membership/stable_hash.h"
+#include "boragepaddle/node/control_spread.h"
+
+namespace boragepaddle::node {
+namespace {
+
+constexpr absl::Duration kExchangeInterval = absl::Seconds(2);
+
+// A newcomer without configuration or list asks more often.
+constexpr absl::Duration kStartupInterval = absl::Milliseconds(500);
+
+// Far above the round trip between regions; a frozen peer costs one such wait.
+constexpr absl::Duration kAnswerTimeout = absl::Milliseconds(500);
+constexpr uint32_t kMaxTries = 3;
+
+constexpr size_t kMaxSeedsAtStart = 5;
+
+// One exchange in sixteen asks a seed peer, so that a node whose whole list is
+// outdated finds the fleet again.
+constexpr uint64_t kExchangesPerSeed = 16;
+
+// A started node leaves the peers this long before it asks the platform. The
+// window doubles with each read, so that many newcomers spread their reads.
+constexpr absl::Duration kStartupReadDelay = absl::Milliseconds(500);
+constexpr absl::Duration kStartupReadWindow = absl::Seconds(2);
+constexpr uint32_t kMaxWindowDoublings = 5;
+
+// Mean time between reads by the non-readers of one zone together. They find a
+// change when all readers of the zone are gone.
+constexpr absl::Duration kZoneReadInterval = absl::Seconds(10);
+
+/// A fraction below 1 of a duration, from random bits.
+absl::Duration RandomPart(absl::Duration whole, uint64_t random) {
+  constexpr uint64_t kSteps = 1 << 20;
+  return whole * static_cast<int64_t>(random % kSteps) / int64_t{kSteps};
+}
+
+/// Independent random bits for another purpose.
+uint64_t Derive(uint64_t random, absl::string_view purpose) {
+  return membership::StableOrder(random, purpose);
+}
+
+void AskSeed(const ControlState& state, size_t index, ControlActions& actions) {
+  actions.push_back(SendMessage{"", state.settings.seed_peers[index],
+                                OwnDigests(state, false)});
+}
+
+/// Returns false if nobody can be asked.
+bool AskRandomPeer(ControlState& state,
+                   uint64_t random,
+                   ControlActions& actions) {
+  const auto& seeds = state.settings.seed_peers;
+  const std::string peer = dissemination::PickExchangePeer(
+      state.zones, state.settings.availability_zone, state.settings.vm_id,
+      Derive(random, "peer"));
+  const uint64_t choice = Derive(random, "seed");
+  const bool ask_seed = peer.empty() || choice % kExchangesPerSeed == 0;
+  if (ask_seed && !seeds.empty()) {
+    AskSeed(state, (choice / kExchangesPerSeed) % seeds.size(), actions);
+    return true;
+  }
+  if (peer.empty()) {
+    return false;
+  }
+  SendTo(state, {peer, "", ""}, OwnDigests(state, false), actions);
+  return true;
+}
+
+void PlanPlatformRead(ControlState& state, absl::Time now, uint64_t random) {
+  const uint64_t bits = Derive(random, "platform");
+  if (!HasBoth(state)) {
+    const uint32_t doublings =
+        std::min(state.startup_reads, kMaxWindowDoublings);
+    state.next_platform_read =
+        now + kStartupReadDelay +
+        RandomPart(kStartupReadWindow * (1 << doublings), bits);
+    return;
+  }
+  const auto members =
+      state.zones.members.find(state.settings.availability_zone);
+  const size_t size =
+      members == state.zones.members.end() ? 1 : members->second.size();
+  // Twice the mean, as the delay is uniform from 0.
+  const absl::Duration window =
+      2 * kZoneReadInterval * static_cast<int64_t>(size);
+  state.next_platform_read = now + RandomPart(window, bits);
+}
+
+}  // namespace
+
+void StartExchange(ControlState& state,
+                   absl::Time now,
+                   uint64_t random,
+                   ControlActions& actions) {
+  state.started = now;
+  const auto& seeds = state.settings.seed_peers;
+  const size_t count = std::min(seeds.size(), kMaxSeedsAtStart);
+  for (size_t step = 0; step < count; ++step) {
+    AskSeed(state, (random + step) % seeds.size(), actions);
+  }
+  // The random phase keeps the exchanges of a fleet apart.
+  state.exchange.next =
+      now + kStartupInterval + RandomPart(kStartupInterval, random);
+  PlanPlatformRead(state, now, random);
+  if (seeds.empty()) {
+    state.next_platform_read = now;
+  }
+}
+
+void TickExchange(ControlState& state,
+                  absl::Time now,
+                  uint64_t random,
+                  ControlActions& actions) {
+  ExchangeState& exchange = state.exchange;
+  const bool unanswered = now >= exchange.answer_due;
+  if (unanswered) {
+    ++state.counters.unanswered_exchanges;
+    exchange.answer_due = absl::InfiniteFuture();
+  }
+  const bool retry = unanswered && exchange.tries < kMaxTries;
+  if (now < exchange.next && !retry) {
+    return;
+  }
+  if (now >= exchange.next) {
+    exchange.tries = 0;
+    exchange.next =
+        now + (HasBoth(state) ? kExchangeInterval : kStartupInterval);
+  }
+  if (AskRandomPeer(state, random, actions)) {
+    ++state.counters.exchanges;
+    ++exchange.tries;
+    exchange.answer_due = now + kAnswerTimeout;
+  }
+}
+
+void TickPlatformRead(ControlState& state,
+                      absl::Time now,
+                      uint64_t random,
+                      ControlActions& actions) {
+  if (now < state.next_platform_read) {
+    return;
+  }
+  const bool is_reader = state.reader_rank < dissemination::kReadersPerZone;
+  if (!is_reader) {
+    ++state.counters.platform_reads;
+    ++state.startup_reads;
+    actions.push_back(ReadPlatform{});
+  }
+  PlanPlatformRead(state, now, random);
+}
+
+schema::DigestExchange OwnDigests(const ControlState& state, bool reply) {
+  schema::DigestExchange digests;
+  digests.config_version = state.config_channel.held.version;
+  digests.config_digest = state.config_channel.held.digest;
+  digests.list_version = state.list_channel.held.version;
+  digests.list_digest = state.list_channel.held.digest;
+  digests.refused_version = state.config_channel.refused.version;
+  digests.reply = reply;
+  return digests;
+}
+
+bool HasBoth(const ControlState& state) {
+  return state.config_channel.held.version != 0 &&
+         state.list_channel.held.version != 0;
+}
+
+}  // namespace boragepaddle::node
--- /dev/null
+++ b/src/boragepaddle/node/control_exchange.h
@@ -0,0 +1,38 @@
+#ifndef BORAGEPADDLE_NODE_CONTROL_EXCHANGE_H_
+#define BORAGEPADDLE_NODE_CONTROL_EXCHANGE_H_
+
+#include <cstdint>
+
+#include "absl/time/time.h"
+#include "boragepaddle/node/control_action.h"
+#include "boragepaddle/node/control_state.h"
+
+namespace boragepaddle::node {
+
+/// Asks the seed peers and plans the first exchange and platform read.
+void StartExchange(ControlState& state,
+                   absl::Time now,
+                   uint64_t random,
+                   ControlActions& actions);
+
+/// Starts the exchange that is due, and another one if a peer did not answer.
+void TickExchange(ControlState& state,
+                  absl::Time now,
+                  uint64_t random,
+                  ControlActions& actions);
+
+/// Asks the platform once if that is due on a node that is not a reader.
+void TickPlatformRead(ControlState& state,
+                      absl::Time now,
+                      uint64_t random,
+                      ControlActions& actions);
+
+/// Versions of this node as a message.
+schema::DigestExchange OwnDigests(const ControlState& state, bool reply);
+
+/// True if a configuration and a list are held.
+bool HasBoth(const ControlState& state);
+
+}  // namespace boragepaddle::node
+
+#endif  // BORAGEPADDLE_NODE_CONTROL_EXCHANGE_H_
--- /dev/null
+++ b/src/boragepaddle/node/control_state.h
@@ -0,0 +1,88 @@
+#ifndef BORAGEPADDLE_NODE_CONTROL_STATE_H_
+#define BORAGEPADDLE_NODE_CONTROL_STATE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "boragepaddle/dissemination/channel.h"
+#include "boragepaddle/dissemination/config_folder.h"
+#include "boragepaddle/dissemination/zones.h"
+#include "boragepaddle/membership/change_log.h"
+#include "boragepaddle/membership/view.h"
+#include "boragepaddle/node/control_action.h"
+
+namespace boragepaddle::node {
+
+/// Checks a configuration; returns its faults. Must depend on the folder alone,
+/// so that all nodes reach the same verdict.
+using ConfigCheck = std::function<std::vector<ConfigFault>(
+    const dissemination::ConfigFolder& folder)>;
+
+/// Settings of the control decisions.
+struct ControlSettings {
+  std::string vm_id;
+  std::string availability_zone;
+  /// Addresses of nodes that are asked while no VM list is known.
+  std::vector<std::string> seed_peers;
+};
+
+/// Events since the start, for /status and /metrics.
+struct ControlCounters {
+  uint64_t configs_accepted = 0;
+  uint64_t configs_refused = 0;
+  uint64_t lists_accepted = 0;
+  uint64_t older_ignored = 0;
+  uint64_t conflicts = 0;
+  uint64_t unusable_deltas = 0;
+  uint64_t fetches = 0;
+  uint64_t exchanges = 0;
+  uint64_t unanswered_exchanges = 0;
+  uint64_t platform_reads = 0;
+};
+
+/// The digest exchange under way.
+struct ExchangeState {
+  absl::Time next = absl::InfiniteFuture();
+  /// Time by which the peer has to answer; infinite future if none was asked.
+  absl::Time answer_due = absl::InfiniteFuture();
+  uint32_t tries = 0;
+};
+
+/// Everything that the control decisions of one node remember.
+struct ControlState {
+  ControlState(ControlSettings settings, ConfigCheck check)
+      : settings(std::move(settings)), check(std::move(check)) {}
+
+  ControlSettings settings;
+  ConfigCheck check;
+  dissemination::Channel config_channel;
+  dissemination::Channel list_channel;
+  dissemination::ConfigFolderPtr folder =
+      std::make_shared<const dissemination::ConfigFolder>();
+  membership::ChangeLog config_log;
+  membership::ChangeLog list_log;
+  membership::View view;
+  dissemination::Zones zones;
+  /// Place among the readers of the zone; kReadersPerZone if none.
+  size_t reader_rank = dissemination::kReadersPerZone;
+  ExchangeState exchange;
+  absl::Time started = absl::InfiniteFuture();
+  /// When the platform is asked once if this node is not a reader.
+  absl::Time next_platform_read = absl::InfiniteFuture();
+  uint32_t startup_reads = 0;
+  /// Peers or the platform gave an answer after the start.
+  uint32_t startup_answers = 0;
+  absl::Time next_prune = absl::InfinitePast();
+  /// Conflicts that were reported, to raise one alarm for each.
+  std::vector<std::pair<uint64_t, uint64_t>> alarmed;
+  ControlCounters counters;
+};
+
+}  // namespace boragepaddle::node
+
+#endif  // BORAGEPADDLE_NODE_CONTROL_STATE_H_
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -232,7 +232,7 @@
 }
 
 bool operator==(const ConfigAnnounce& a, const ConfigAnnounce& b) {
-  return a.version == b.version && a.digest == b.digest;
+  return a.version == b.version && a.digest == b.digest && a.tree == b.tree;
 }
 
 bool operator!=(const ConfigAnnounce& a, const ConfigAnnounce& b) {
@@ -257,7 +257,7 @@
 }
 
 bool operator==(const ListAnnounce& a, const ListAnnounce& b) {
-  return a.version == b.version && a.digest == b.digest;
+  return a.version == b.version && a.digest == b.digest && a.tree == b.tree;
 }
 
 bool operator!=(const ListAnnounce& a, const ListAnnounce& b) {
@@ -528,15 +528,17 @@
 }
 
 void Pack(Packer& packer, const ConfigAnnounce& value) {
-  packer.pack_array(2);
+  packer.pack_array(3);
   Pack(packer, value.version);
   Pack(packer, value.digest);
+  Pack(packer, value.tree);
 }
 
 bool Unpack(const msgpack::object& object, ConfigAnnounce* value) {
   ArrayReader reader(object);
   reader.Next(&value->version);
   reader.Next(&value->digest);
+  reader.Next(&value->tree);
   return reader.ok();
 }
 
@@ -571,15 +573,17 @@
 }
 
 void Pack(Packer& packer, const ListAnnounce& value) {
-  packer.pack_array(2);
+  packer.pack_array(3);
   Pack(packer, value.version);
   Pack(packer, value.digest);
+  Pack(packer, value.tree);
 }
 
 bool Unpack(const msgpack::object& object, ListAnnounce* value) {
   ArrayReader reader(object);
   reader.Next(&value->version);
   reader.Next(&value->digest);
+  reader.Next(&value->tree);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -252,6 +252,8 @@
 struct ConfigAnnounce {
   uint64_t version = 0;
   uint64_t digest = 0;
+  /// Rank of the reader whose spreading tree carries the announcement.
+  uint32_t tree = 0;
 };
 /// Compares all fields.
 bool operator==(const ConfigAnnounce& a, const ConfigAnnounce& b);
@@ -284,6 +286,8 @@
 struct ListAnnounce {
   uint64_t version = 0;
   uint64_t digest = 0;
+  /// Rank of the reader whose spreading tree carries the announcement.
+  uint32_t tree = 0;
 };
 /// Compares all fields.
 bool operator==(const ListAnnounce& a, const ListAnnounce& b);
