Use the folder type of the configuration layer in dissemination

A node that lacks a configuration or a list keeps a watch open instead of reading again and again, so that it gets the first publication at once.

--- a/src/boragepaddle/dissemination/config_folder.h
+++ b/src/boragepaddle/dissemination/config_folder.h
@@ -7,27 +7,25 @@
 #include <vector>
 
 #include "boragepaddle/base/result.h"
+#include "boragepaddle/config/folder.h"
 #include "boragepaddle/membership/change_log.h"
 #include "boragepaddle/membership/version_error.h"
 #include "boragepaddle/schema/messages.h"
 
 namespace boragepaddle::dissemination {
 
-/// One version of the configuration folder as it is sent between nodes. Never
-/// changed after it is made, so that threads share it.
+/// One version of the configuration folder. Never changed after it is made, so
+/// that threads share it.
 struct ConfigFolder {
   uint64_t version = 0;
   uint64_t digest = 0;
-  /// Sorted by name; none is marked as removed.
-  std::vector<schema::FileText> files;
+  config::Folder files;
 };
 
 using ConfigFolderPtr = std::shared_ptr<const ConfigFolder>;
 
-/// Sorts the files and computes the digest.
-base::Result<ConfigFolderPtr, membership::VersionError> MakeFolder(
-    uint64_t version,
-    std::vector<schema::FileText> files);
+/// Computes the digest.
+ConfigFolderPtr MakeFolder(uint64_t version, config::Folder files);
 
 /// Applies a delta to a folder. The delta may start before the folder's version
 /// but not after it. The result must have the delta's digest.
--- a/src/boragepaddle/membership/stable_hash.cc
+++ b/src/boragepaddle/membership/stable_hash.cc
@@ -37,14 +37,6 @@
 
 }  // namespace
 
-uint64_t StableHash(std::initializer_list<absl::string_view> fields) {
-  Digester digester;
-  for (const absl::string_view field : fields) {
-    digester.Add(field);
-  }
-  return digester.Finish();
-}
-
 uint64_t StableOrder(uint64_t seed, absl::string_view vm_id) {
   return XXH3_64bits_withSeed(vm_id.data(), vm_id.size(), seed);
 }
@@ -63,13 +55,4 @@
   return digester.Finish();
 }
 
-uint64_t DigestOf(absl::Span<const schema::FileText> files) {
-  Digester digester;
-  for (const schema::FileText& file : files) {
-    digester.Add(file.name);
-    digester.Add(file.text);
-  }
-  return digester.Finish();
-}
-
 }  // namespace boragepaddle::membership
--- a/src/boragepaddle/node/control.cc
+++ b/src/boragepaddle/node/control.cc
@@ -173,16 +173,9 @@
   PassOn(context, Payload::kConfig, origin, previous->version);
 }
 
-void UpdateReaderRank(Context& context) {
-  ControlState& state = context.state;
-  const size_t rank = dissemination::ReaderRank(
+void UpdateReaderRank(ControlState& state) {
+  state.reader_rank = dissemination::ReaderRank(
       state.zones, state.settings.availability_zone, state.settings.vm_id);
-  const bool was_reader = state.reader_rank < dissemination::kReadersPerZone;
-  const bool is_reader = rank < dissemination::kReadersPerZone;
-  state.reader_rank = rank;
-  if (was_reader != is_reader) {
-    context.actions.push_back(WatchPlatform{is_reader});
-  }
 }
 
 void TakeList(Context& context, const VmListPtr& list, const Origin& origin) {
@@ -200,7 +193,7 @@
   state.zones = dissemination::GroupByZone(list);
   dissemination::NoteHeld(state.list_channel, {list->version, list->digest});
   context.actions.push_back(InstallList{list});
-  UpdateReaderRank(context);
+  UpdateReaderRank(state);
   PassOn(context, Payload::kList, origin, previous->version);
 }
 
@@ -385,15 +378,12 @@
     std::visit(MessageHandler{this->context, event.from}, event.message);
   }
   void operator()(const PlatformConfig& event) {
-    const auto folder = dissemination::MakeFolder(event.revision, event.files);
-    if (!folder.has_value()) {
-      Alarm(this->context, Payload::kConfig, folder.error(), kPlatformSource);
-      return;
-    }
+    const ConfigFolderPtr folder =
+        dissemination::MakeFolder(event.revision, event.files);
     this->context.state.startup_answers += kReadyAnswers;
-    const VersionTag offered{event.revision, folder.value()->digest};
+    const VersionTag offered{event.revision, folder->digest};
     if (IsNewer(this->context, Payload::kConfig, offered, kPlatformSource)) {
-      TakeConfig(this->context, folder.value(), Origin());
+      TakeConfig(this->context, folder, Origin());
     }
   }
   void operator()(const PlatformList& event) {
@@ -420,6 +410,7 @@
   std::visit(EventHandler{context}, event);
   SendDueFetch(context, Payload::kConfig);
   SendDueFetch(context, Payload::kList);
+  UpdateWatch(state, now, actions);
   return actions;
 }
 
--- a/src/boragepaddle/node/control_event.h
+++ b/src/boragepaddle/node/control_event.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "boragepaddle/config/folder.h"
 #include "boragepaddle/dissemination/channel.h"
 #include "boragepaddle/schema/messages.h"
 
@@ -25,7 +26,7 @@
 /// The platform answered with a configuration.
 struct PlatformConfig {
   uint64_t revision = 0;
-  std::vector<schema::FileText> files;
+  config::Folder files;
 };
 
 /// The platform answered with a VM list.
--- a/src/boragepaddle/node/control_exchange.cc
+++ b/src/boragepaddle/node/control_exchange.cc
@@ -25,11 +25,10 @@
 // outdated finds the fleet again.
 constexpr uint64_t kExchangesPerSeed = 16;
 
-// A started node leaves the peers this long before it asks the platform. The
-// window doubles with each read, so that many newcomers spread their reads.
-constexpr absl::Duration kStartupReadDelay = absl::Milliseconds(500);
-constexpr absl::Duration kStartupReadWindow = absl::Seconds(2);
-constexpr uint32_t kMaxWindowDoublings = 5;
+// A started node leaves its peers this long before it asks the platform. The
+// random part spreads the reads when many nodes start at once.
+constexpr absl::Duration kStartupWatchDelay = absl::Milliseconds(500);
+constexpr absl::Duration kStartupWatchWindow = absl::Seconds(5);
 
 // Mean time between reads by the non-readers of one zone together. They find a
 // change when all readers of the zone are gone.
@@ -73,15 +72,6 @@
 }
 
 void PlanPlatformRead(ControlState& state, absl::Time now, uint64_t random) {
-  const uint64_t bits = Derive(random, "platform");
-  if (!HasBoth(state)) {
-    const uint32_t doublings =
-        std::min(state.startup_reads, kMaxWindowDoublings);
-    state.next_platform_read =
-        now + kStartupReadDelay +
-        RandomPart(kStartupReadWindow * (1 << doublings), bits);
-    return;
-  }
   const auto members =
       state.zones.members.find(state.settings.availability_zone);
   const size_t size =
@@ -89,7 +79,8 @@
   // Twice the mean, as the delay is uniform from 0.
   const absl::Duration window =
       2 * kZoneReadInterval * static_cast<int64_t>(size);
-  state.next_platform_read = now + RandomPart(window, bits);
+  state.next_platform_read =
+      now + RandomPart(window, Derive(random, "platform"));
 }
 
 }  // namespace
@@ -108,8 +99,11 @@
   state.exchange.next =
       now + kStartupInterval + RandomPart(kStartupInterval, random);
   PlanPlatformRead(state, now, random);
-  if (seeds.empty()) {
-    state.next_platform_read = now;
+  state.startup_watch_at = now;
+  if (!seeds.empty()) {
+    state.startup_watch_at += kStartupWatchDelay;
+    state.startup_watch_at +=
+        RandomPart(kStartupWatchWindow, Derive(random, "watch"));
   }
 }
 
@@ -146,15 +140,23 @@
   if (now < state.next_platform_read) {
     return;
   }
-  const bool is_reader = state.reader_rank < dissemination::kReadersPerZone;
-  if (!is_reader) {
+  if (!state.watching && HasBoth(state)) {
     ++state.counters.platform_reads;
-    ++state.startup_reads;
     actions.push_back(ReadPlatform{});
   }
   PlanPlatformRead(state, now, random);
 }
 
+void UpdateWatch(ControlState& state, absl::Time now, ControlActions& actions) {
+  const bool is_reader = state.reader_rank < dissemination::kReadersPerZone;
+  const bool starting = !HasBoth(state) && now >= state.startup_watch_at;
+  const bool watch = is_reader || starting;
+  if (watch != state.watching) {
+    state.watching = watch;
+    actions.push_back(WatchPlatform{watch});
+  }
+}
+
 schema::DigestExchange OwnDigests(const ControlState& state, bool reply) {
   schema::DigestExchange digests;
   digests.config_version = state.config_channel.held.version;
--- a/src/boragepaddle/node/control_exchange.h
+++ b/src/boragepaddle/node/control_exchange.h
@@ -27,6 +27,10 @@
                       uint64_t random,
                       ControlActions& actions);
 
+/// Opens or closes the watches: readers keep them open, and other nodes while
+/// they lack a configuration or a list.
+void UpdateWatch(ControlState& state, absl::Time now, ControlActions& actions);
+
 /// Versions of this node as a message.
 schema::DigestExchange OwnDigests(const ControlState& state, bool reply);
 
--- a/src/boragepaddle/node/control_state.h
+++ b/src/boragepaddle/node/control_state.h
@@ -72,9 +72,12 @@
   size_t reader_rank = dissemination::kReadersPerZone;
   ExchangeState exchange;
   absl::Time started = absl::InfiniteFuture();
+  /// From when on the platform is watched while something is missing.
+  absl::Time startup_watch_at = absl::InfiniteFuture();
+  /// Watches on the platform are open.
+  bool watching = false;
   /// When the platform is asked once if this node is not a reader.
   absl::Time next_platform_read = absl::InfiniteFuture();
-  uint32_t startup_reads = 0;
   /// Peers or the platform gave an answer after the start.
   uint32_t startup_answers = 0;
   absl::Time next_prune = absl::InfinitePast();
