--- /dev/null
+++ b/src/boragepaddle/platform/platform_error.h
@@ -0,0 +1,34 @@
+#ifndef BORAGEPADDLE_PLATFORM_PLATFORM_ERROR_H_
+#define BORAGEPADDLE_PLATFORM_PLATFORM_ERROR_H_
+
+#include <cstdint>
+
+#include "absl/strings/string_view.h"
+
+namespace boragepaddle::platform {
+
+/// Why the platform gave no usable answer.
+enum class PlatformErrorCode : uint8_t {
+  kUnreachable,
+  kTimeout,
+  /// The connection broke inside an answer.
+  kBroken,
+  /// An HTTP status other than 200.
+  kStatus,
+  /// The body is not the expected JSON.
+  kMalformed,
+};
+
+/// Failure of one read or watch.
+struct PlatformError {
+  PlatformErrorCode code = PlatformErrorCode::kUnreachable;
+  /// HTTP status; 0 if there is none.
+  int http_status = 0;
+};
+
+/// Returns the name used in logs.
+absl::string_view ToString(PlatformErrorCode code);
+
+}  // namespace boragepaddle::platform
+
+#endif  // BORAGEPADDLE_PLATFORM_PLATFORM_ERROR_H_
--- /dev/null
+++ b/tests/unit/platform_answer_test.cc
@@ -0,0 +1,50 @@
+#include "boragepaddle/platform/platform_answer.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace boragepaddle::platform {
+namespace {
+
+TEST_CASE("platform: a configuration answer is read") {
+  const auto answer =
+      ParseConfigAnswer(R"({"revision": 7, "files": {"a.json": "{}"}})");
+  REQUIRE(answer.has_value());
+  CHECK(answer.value().revision == 7);
+  CHECK(answer.value().files.at("a.json") == "{}");
+}
+
+TEST_CASE("platform: a list answer is read") {
+  const auto answer = ParseListAnswer(
+      R"({"revision": 3, "vms": [{"vm_id": "catalogue-0", "member": "bureau",
+          "service": "catalogue", "availability_zone": "tamsui",
+          "region": "tw-north", "peer_address": "127.0.0.1:9",
+          "state": "leaving"}]})");
+  REQUIRE(answer.has_value());
+  REQUIRE(answer.value().vms.size() == 1);
+  CHECK(answer.value().vms[0].availability_zone == "tamsui");
+  CHECK(answer.value().vms[0].state == schema::VmState::kLeaving);
+}
+
+// Guards against an exception or a partial list from a broken platform.
+TEST_CASE("platform: malformed answers are typed errors") {
+  for (const std::string body :
+       {"", "[]", "null", "{\"revision\": -1, \"files\": {}}",
+        "{\"revision\": \"7\", \"files\": {}}", "{\"revision\": 7}",
+        "{\"revision\": 7, \"files\": {\"a\": 1}}"}) {
+    CAPTURE(body);
+    const auto answer = ParseConfigAnswer(body);
+    REQUIRE_FALSE(answer.has_value());
+    CHECK(answer.error().code == PlatformErrorCode::kMalformed);
+  }
+  for (const std::string body :
+       {"{\"revision\": 7, \"vms\": {}}", "{\"revision\": 7, \"vms\": [1]}",
+        "{\"revision\": 7, \"vms\": [{\"vm_id\": \"a\"}]}"}) {
+    CAPTURE(body);
+    CHECK_FALSE(ParseListAnswer(body).has_value());
+  }
+}
+
+}  // namespace
+}  // namespace boragepaddle::platform
