--- a/src/boragepaddle/daemon/message_router.cc
+++ b/src/boragepaddle/daemon/message_router.cc
@@ -7,11 +7,14 @@
 
 namespace boragepaddle::daemon {
 
-MessageRouter::MessageRouter(IngressServer& ingress, AttemptTable& attempts)
-    : ingress(ingress), attempts(attempts) {}
+MessageRouter::MessageRouter(IngressServer& ingress,
+                             AttemptTable& attempts,
+                             transport::PeerLinkHandler& control)
+    : ingress(ingress), attempts(attempts), control(control) {}
 
 void MessageRouter::OnOpen(const PeerLinkPtr& link) {
   this->ingress.OnLinkOpen(link);
+  this->control.OnOpen(link);
 }
 
 void MessageRouter::OnMessage(const PeerLinkPtr& link,
@@ -25,6 +28,8 @@
     this->ingress.OnCancel(link, *cancel);
   } else if (auto* grant = std::get_if<schema::TicketGrant>(&message)) {
     this->attempts.OnGrant(link->id(), std::move(*grant));
+  } else {
+    this->control.OnMessage(link, std::move(message));
   }
 }
 
@@ -36,6 +41,7 @@
   }
   this->attempts.OnLinkClosed(link->id());
   this->ingress.OnLinkClosed(link);
+  this->control.OnClosed(link);
 }
 
 }  // namespace boragepaddle::daemon
--- a/src/boragepaddle/daemon/message_router.h
+++ b/src/boragepaddle/daemon/message_router.h
@@ -10,10 +10,13 @@
 
 namespace boragepaddle::daemon {
 
-/// Hands the events of connections to the parts of the node.
+/// Hands the events of connections to the parts of the node. Control gets all
+/// events and picks its own messages.
 class MessageRouter : public transport::PeerLinkHandler {
  public:
-  MessageRouter(IngressServer& ingress, AttemptTable& attempts);
+  MessageRouter(IngressServer& ingress,
+                AttemptTable& attempts,
+                transport::PeerLinkHandler& control);
 
   void OnOpen(const PeerLinkPtr& link) override;
   void OnMessage(const PeerLinkPtr& link, schema::Message message) override;
@@ -22,6 +25,7 @@
  private:
   IngressServer& ingress;
   AttemptTable& attempts;
+  transport::PeerLinkHandler& control;
   const Logger log{"peers"};
 };
 
--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -35,7 +35,14 @@
               this->rules,
               this->contexts,
               this->worker),
-      router(this->ingress, this->attempts),
+      control(
+          settings,
+          this->rules,
+          [this] { return this->MakeHello(); },
+          [this](const membership::VmList& list) {
+            this->egress.SetUpstreams(list.vms);
+          }),
+      router(this->ingress, this->attempts, this->control),
       hub([this] { return this->MakeHello(); }, this->router),
       egress({settings.availability_zone, settings.region},
              this->hub,
@@ -81,8 +88,7 @@
     return operations.error();
   }
   this->ingress.SetWorkerListener(local.value());
-  this->poller = std::make_unique<PlatformPoller>(
-      this->settings.platform_address, this->rules, this->egress);
+  this->control.Start();
   return BoundAddresses{caller.value(), local.value(),
                         this->peer_listener->address(), operations.value()};
 }
@@ -125,7 +131,7 @@
   });
   this->operators.Add("GET /readyz", [this](const transport::HttpCall&) {
     transport::HttpReply reply;
-    const bool ready = this->rules.Current()->version > 0 && !this->leaving;
+    const bool ready = this->control.ready() && !this->leaving;
     reply.status = ready ? 200 : kStatusUnavailable;
     return reply;
   });
@@ -159,7 +165,8 @@
       {"config_version", this->rules.Current()->version},
       {"calls_at_worker", this->ingress.in_flight()},
       {"calls_of_callers", this->callers.active()},
-      {"connections", this->hub.Links().size()}};
+      {"connections", this->hub.Links().size()},
+      {"control", this->control.Status()}};
   reply.body = json.dump();
   return reply;
 }
--- a/src/boragepaddle/daemon/node_daemon.h
+++ b/src/boragepaddle/daemon/node_daemon.h
@@ -9,13 +9,13 @@
 #include "boragepaddle/base/result.h"
 #include "boragepaddle/daemon/attempt_table.h"
 #include "boragepaddle/daemon/caller_service.h"
+#include "boragepaddle/daemon/control_loop.h"
 #include "boragepaddle/daemon/egress_client.h"
 #include "boragepaddle/daemon/ingress_server.h"
 #include "boragepaddle/daemon/logger.h"
 #include "boragepaddle/daemon/message_router.h"
 #include "boragepaddle/daemon/operator_service.h"
 #include "boragepaddle/daemon/peer_hub.h"
-#include "boragepaddle/daemon/platform_poller.h"
 #include "boragepaddle/daemon/request_contexts.h"
 #include "boragepaddle/daemon/rule_book.h"
 #include "boragepaddle/metrics/call_metrics.h"
@@ -71,6 +71,7 @@
   transport::WorkerClient worker;
   IngressServer ingress;
   AttemptTable attempts;
+  ControlLoop control;
   MessageRouter router;
   PeerHub hub;
   EgressClient egress;
@@ -80,7 +81,6 @@
   transport::HttpListener caller_listener;
   transport::HttpListener worker_listener;
   transport::HttpListener operator_listener;
-  std::unique_ptr<PlatformPoller> poller;
 };
 
 }  // namespace boragepaddle::daemon
