--- a/tools/mesh/mesh.py
+++ b/tools/mesh/mesh.py
@@ -7,7 +7,7 @@
 import signal
 import tempfile
 
-from mesh.http import get_status, put_json
+from mesh.http import get_status, post_json, put_json
 from mesh.process import Process
 from mesh.wait import wait_until
 
@@ -41,16 +41,19 @@
 
     `config_files` is {file name: text}; `node_settings` are keys added to the
     settings of every node. Without nodes, only the platform and the workers
-    are started.
+    are started. With `link_rules`, a fault proxy stands before the peer
+    listener of every node and applies these rules (docs/emulator.md).
     """
 
     def __init__(self, topology, config_files, node_settings=None,
-                 with_nodes=True, journals=False):
+                 with_nodes=True, journals=False, link_rules=None):
         self.topology = topology
         self.config_files = dict(config_files)
         self.node_settings = dict(node_settings or {})
         self.with_nodes = with_nodes
         self.journals = journals
+        self.link_rules = link_rules
+        self.proxy = None
         self.folder = None
         self.processes = []
         self.platform = None
@@ -85,6 +88,8 @@
         for vm in vms:
             self.start_node(vm)
         self.wait_ready(self.nodes)
+        if self.link_rules is not None:
+            self._start_proxy()
         self.put_config()
         self.put_vms()
         self.wait_nodes_ready()
@@ -123,6 +128,29 @@
         self.nodes[vm.vm_id] = process
         return process
 
+    def _start_proxy(self):
+        self.proxy = self.start_process("proxy", [program("fault_proxy")])
+        self.proxy.wait_ready()
+        self.set_link_rules(self.link_rules)
+        for vm in list(self.vms.values()):
+            self.add_proxy_listener(vm)
+
+    def add_proxy_listener(self, vm):
+        """Puts the proxy before the node of a VM; changes its target if the
+        VM already has a listener."""
+        target = self.nodes[vm.vm_id].addresses["peer"]
+        control = self.proxy.addresses["control"]
+        if vm.vm_id in self.peer_addresses:
+            put_json(control, "/listeners", {
+                "address": self.peer_addresses[vm.vm_id], "target": target})
+            return
+        self.peer_addresses[vm.vm_id] = post_json(control, "/listeners", {
+            "target": target, "vm": vm.vm_id, "zone": vm.zone,
+            "region": vm.service.region})["address"]
+
+    def set_link_rules(self, rules):
+        put_json(self.proxy.addresses["control"], "/rules", {"rules": rules})
+
     def _settings(self, vm):
         service = vm.service
         return {
