--- a/emulator/client_pool.cc
+++ b/emulator/client_pool.cc
@@ -12,6 +12,8 @@
   std::unique_ptr<httplib::Client> client = this->Take(address);
   const int64_t microseconds = absl::ToInt64Microseconds(timeout);
   client->set_read_timeout(microseconds / 1'000'000, microseconds % 1'000'000);
+  client->set_connection_timeout(microseconds / 1'000'000,
+                                 microseconds % 1'000'000);
   httplib::Result result =
       client->Post(path, headers, body, "application/json");
   if (result) {
@@ -20,6 +22,10 @@
   return result;
 }
 
+uint64_t ClientPool::Opened() const {
+  return this->opened.load();
+}
+
 std::unique_ptr<httplib::Client> ClientPool::Take(const std::string& address) {
   {
     absl::MutexLock lock(&this->mutex);
@@ -30,6 +36,7 @@
       return client;
     }
   }
+  ++this->opened;
   auto client = std::make_unique<httplib::Client>("http://" + address);
   client->set_keep_alive(true);
   client->set_tcp_nodelay(true);
--- a/emulator/client_pool.h
+++ b/emulator/client_pool.h
@@ -3,6 +3,8 @@
 
 #include <httplib.h>
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,11 +26,15 @@
                        const std::string& body,
                        absl::Duration timeout);
 
+  /// Clients created so far, each with at least one connection.
+  uint64_t Opened() const;
+
  private:
   std::unique_ptr<httplib::Client> Take(const std::string& address);
   void Return(const std::string& address,
               std::unique_ptr<httplib::Client> client);
 
+  std::atomic<uint64_t> opened{0};
   absl::Mutex mutex;
   absl::flat_hash_map<std::string,
                       std::vector<std::unique_ptr<httplib::Client>>>
--- /dev/null
+++ b/emulator/load_main.cc
@@ -0,0 +1,55 @@
+#include <gflags/gflags.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "emulator/load_plan.h"
+#include "emulator/load_report.h"
+#include "emulator/load_run.h"
+
+DEFINE_string(plan, "", "JSON file with entries, phases and operations");
+DEFINE_string(output, "", "file for the results in JSON");
+DEFINE_string(ends,
+              "",
+              "file for one line per request: key, class, outcome, attempts");
+
+namespace {
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void WriteEnds(const emulator::LoadOutput& output, const std::string& path) {
+  std::ofstream file(path);
+  for (const emulator::RequestEnd& end : output.ends) {
+    file << end.key << " " << end.call_class << " "
+         << emulator::ToString(end.outcome) << " " << end.attempts << "\n";
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const auto plan = emulator::ReadLoadPlan(ReadFile(FLAGS_plan));
+  if (!plan) {
+    std::cerr << "load: " << FLAGS_plan << ": "
+              << emulator::ToString(plan.error()) << "\n";
+    return 2;
+  }
+  emulator::LoadRun run(plan.value());
+  const emulator::LoadOutput output = run.Run();
+  std::cout << emulator::ReportTable(plan.value(), output);
+  if (!FLAGS_output.empty()) {
+    std::ofstream(FLAGS_output)
+        << emulator::ReportJson(plan.value(), output) << "\n";
+  }
+  if (!FLAGS_ends.empty()) {
+    WriteEnds(output, FLAGS_ends);
+  }
+  return 0;
+}
--- /dev/null
+++ b/emulator/load_request.h
@@ -0,0 +1,46 @@
+#ifndef EMULATOR_LOAD_REQUEST_H_
+#define EMULATOR_LOAD_REQUEST_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "absl/time/time.h"
+
+namespace emulator {
+
+/// How a request, or one attempt of it, ended for the client.
+enum class ClientOutcome : uint8_t {
+  /// A whole answer to the client's own request, in time.
+  kCompleted,
+  /// A whole answer after the deadline.
+  kLate,
+  /// A whole answer that reports a failure of the worker.
+  kFailed,
+  /// The node said that it was not run.
+  kNotRun,
+  /// The node said so, or no whole answer came.
+  kUnknown,
+  /// An answer to another request, or one that is not whole.
+  kWrong,
+  /// The deadline passed before the client could send.
+  kNotSent,
+};
+constexpr size_t kClientOutcomes = 7;
+
+/// One request of a client with the state of its attempts.
+struct LoadRequest {
+  size_t operation = 0;
+  size_t phase = 0;
+  std::string key;
+  absl::Time arrival;
+  size_t attempts = 0;
+  std::string ticket;
+  /// Some attempt ended unknown, so the request may have run.
+  bool may_have_run = false;
+  size_t next_entry = 0;
+};
+
+}  // namespace emulator
+
+#endif  // EMULATOR_LOAD_REQUEST_H_
