--- a/emulator/load_report.cc
+++ b/emulator/load_report.cc
@@ -107,6 +107,10 @@
   return json;
 }
 
+uint64_t CountOf(absl::Span<const uint64_t> outcomes, ClientOutcome outcome) {
+  return outcomes[static_cast<size_t>(outcome)];
+}
+
 }  // namespace
 
 absl::string_view ToString(ClientOutcome outcome) {
@@ -179,16 +183,17 @@
       "offered", "completed", "in time", "not run", "unknown", "failed",
       "wrong", "other", "p50 ms", "p99 ms");
   for (const auto& [key, result] : output.results.classes) {
-    const auto count = [&result](ClientOutcome outcome) {
-      return result.outcomes[static_cast<size_t>(outcome)];
-    };
+    const auto& outcomes = result.outcomes;
     absl::StrAppendFormat(
         &table, "%-10s %-10s %8d %9d %8d %7d %7d %7d %5d %7d %8.2f %8.2f\n",
         plan.phases[key.first].name, key.second, result.offered,
-        count(ClientOutcome::kCompleted), result.in_time,
-        count(ClientOutcome::kNotRun), count(ClientOutcome::kUnknown),
-        count(ClientOutcome::kFailed), count(ClientOutcome::kWrong),
-        count(ClientOutcome::kLate) + count(ClientOutcome::kNotSent),
+        CountOf(outcomes, ClientOutcome::kCompleted), result.in_time,
+        CountOf(outcomes, ClientOutcome::kNotRun),
+        CountOf(outcomes, ClientOutcome::kUnknown),
+        CountOf(outcomes, ClientOutcome::kFailed),
+        CountOf(outcomes, ClientOutcome::kWrong),
+        CountOf(outcomes, ClientOutcome::kLate) +
+            CountOf(outcomes, ClientOutcome::kNotSent),
         result.latency.Quantile(0.5), result.latency.Quantile(0.99));
   }
   return table;
