--- a/src/boragepaddle/node/control_exchange.cc
+++ b/src/boragepaddle/node/control_exchange.cc
@@ -31,8 +31,10 @@
 constexpr absl::Duration kStartupWatchWindow = absl::Seconds(5);
 
 // Mean time between reads by the non-readers of one zone together. They find a
-// change when all readers of the zone are gone.
-constexpr absl::Duration kZoneReadInterval = absl::Seconds(10);
+// change when all readers of the zone are gone. In 16 zones with two documents
+// this makes 16 reads per second of the 2,000 that the platform serves. At 10 s
+// a single node left awake in a fleet of 10 took 33 s to find a change.
+constexpr absl::Duration kZoneReadInterval = absl::Seconds(2);
 
 /// A fraction below 1 of a duration, from random bits.
 absl::Duration RandomPart(absl::Duration whole, uint64_t random) {
--- a/src/boragepaddle/platform/watch_thread.cc
+++ b/src/boragepaddle/platform/watch_thread.cc
@@ -106,7 +106,7 @@
   if (!body.has_value()) {
     const bool no_news =
         request.once && body.error().code == PlatformErrorCode::kTimeout;
-    if (!no_news) {
+    if (!no_news && this->Wants(request)) {
       this->NoteFailure(body.error());
     }
     return;
@@ -126,6 +126,11 @@
   }
 }
 
+bool WatchThread::Wants(const Request& request) const {
+  absl::MutexLock lock(&this->mutex);
+  return request.once || this->enabled;
+}
+
 void WatchThread::NoteFailure(const PlatformError& error) {
   absl::Duration pause;
   {
--- a/src/boragepaddle/platform/watch_thread.h
+++ b/src/boragepaddle/platform/watch_thread.h
@@ -59,6 +59,8 @@
   void Run();
   bool NextRequest(Request* request);
   void Perform(const Request& request);
+  /// False if the watch was ended meanwhile, so that its end is no failure.
+  bool Wants(const Request& request) const;
   void NoteFailure(const PlatformError& error);
   void Pause(absl::Duration duration);
 
--- a/tests/unit/control_test.cc
+++ b/tests/unit/control_test.cc
@@ -60,6 +60,21 @@
   CHECK(pump.Lacking(2) == 0);
 }
 
+// Guards against subtrees that stay dark below silent nodes that are not
+// readers.
+TEST_CASE("control: a change arrives although a fifth of all nodes is silent") {
+  ControlPump pump = MakeFleet(100);
+  size_t index = 0;
+  for (const auto& [id, zone] : pump.zone_of) {
+    if (++index % 5 == 0) {
+      pump.silent.insert(id);
+    }
+  }
+  pump.PublishConfig(2, "two");
+  pump.Run(absl::Seconds(4));
+  CHECK(pump.Lacking(2) == 0);
+}
+
 // Guards against dependence on the push: a single informed node must be enough.
 TEST_CASE("control: the digest exchange alone spreads a change") {
   ControlPump pump = MakeFleet(20);
