--- /dev/null
+++ b/src/boragepaddle/admission/admission.cc
@@ -0,0 +1,424 @@
+#include "boragepaddle/admission/admission.h"
+
+#include <algorithm>
+#include <cassert>
+
+#include "absl/types/optional.h"
+
+namespace boragepaddle::admission {
+
+namespace {
+
+using schema::CallClass;
+using schema::kCallClassCount;
+using schema::Reason;
+using Queue = std::vector<AdmissionCall>;
+
+constexpr size_t Index(CallClass call_class) {
+  return static_cast<size_t>(call_class);
+}
+
+void Shed(AdmissionState& state,
+          size_t class_index,
+          Queue::iterator call,
+          Reason reason,
+          AdmissionActions& actions) {
+  actions.push_back(ShedCall{call->id, reason});
+  state.queues[class_index].erase(call);
+}
+
+/// Removes a call because of overload, and remembers its class.
+void ShedForOverload(AdmissionState& state,
+                     size_t class_index,
+                     Queue::iterator call,
+                     Reason reason,
+                     absl::Time now,
+                     AdmissionActions& actions) {
+  state.shed_at[class_index] = now;
+  if (call->depth > 0) {
+    state.nested_shed_at[class_index] = now;
+  }
+  Shed(state, class_index, call, reason, actions);
+}
+
+/// Most important class that was shed within the hold time; all classes if
+/// none was.
+size_t RefusedClass(const AdmissionState& state, absl::Time now) {
+  for (size_t index = 0; index < kCallClassCount; ++index) {
+    if (now < state.shed_at[index] + state.settings.refusal_hold) {
+      return index;
+    }
+  }
+  return kCallClassCount;
+}
+
+/// Least important class with a queue.
+absl::optional<size_t> LeastQueuedClass(const AdmissionState& state) {
+  for (size_t index = kCallClassCount; index > 0; --index) {
+    if (!state.queues[index - 1].empty()) {
+      return index - 1;
+    }
+  }
+  return absl::nullopt;
+}
+
+/// A burst may wait for the burst time. Once the queue stands for longer, the
+/// target applies, but never less than one service time: with long calls and
+/// few slots, a demand that fits waits about that long for a free slot.
+absl::Duration AllowedWait(const AdmissionState& state,
+                           const AdmissionCall& call,
+                           absl::Time now) {
+  const size_t index = Index(call.call_class);
+  const absl::Duration target = std::max(call.queue_target, call.min_service);
+  const bool standing = now - state.empty_at[index] > state.settings.burst;
+  return standing ? target : std::max(target, state.settings.burst);
+}
+
+void NoteEmptyQueues(AdmissionState& state, absl::Time now) {
+  for (size_t index = 0; index < kCallClassCount; ++index) {
+    if (!state.queues[index].empty()) {
+      return;
+    }
+    state.empty_at[index] = now;
+  }
+}
+
+void DropExpired(AdmissionState& state,
+                 absl::Time now,
+                 AdmissionActions& actions) {
+  for (size_t index = 0; index < kCallClassCount; ++index) {
+    Queue& queue = state.queues[index];
+    for (size_t at = queue.size(); at > 0; --at) {
+      const auto call = queue.begin() + static_cast<ptrdiff_t>(at - 1);
+      const absl::Duration left = call->deadline - now;
+      if (left <= absl::ZeroDuration() || left < call->min_service) {
+        Shed(state, index, call, Reason::kDeadline, actions);
+      }
+    }
+  }
+}
+
+/// Sheds everything that is less important, so that no call is shed while
+/// less important work waits to be admitted.
+void ShedBelow(AdmissionState& state,
+               size_t class_index,
+               absl::Time now,
+               AdmissionActions& actions) {
+  for (size_t index = kCallClassCount - 1; index > class_index; --index) {
+    Queue& queue = state.queues[index];
+    while (!queue.empty()) {
+      ShedForOverload(state, index, queue.end() - 1, Reason::kDisplaced, now,
+                      actions);
+    }
+  }
+}
+
+/// Sheds the root requests of a class of which a nested call is to be shed.
+/// Returns the number of calls that were shed at or before the position.
+size_t ShedRoots(AdmissionState& state,
+                 size_t class_index,
+                 size_t position,
+                 absl::Time now,
+                 AdmissionActions& actions) {
+  Queue& queue = state.queues[class_index];
+  size_t before = 0;
+  for (size_t at = queue.size(); at > 0; --at) {
+    const auto call = queue.begin() + static_cast<ptrdiff_t>(at - 1);
+    if (call->depth == 0) {
+      before += at - 1 < position ? 1 : 0;
+      ShedForOverload(state, class_index, call, Reason::kDisplaced, now,
+                      actions);
+    }
+  }
+  return before;
+}
+
+/// Cancels the least important running call below the class that was started
+/// last, which has the least work in it. False if there is none.
+bool CancelRunning(AdmissionState& state,
+                   size_t class_index,
+                   AdmissionActions& actions) {
+  if (!state.settings.worker_accepts_cancel) {
+    return false;
+  }
+  auto victim = state.running.end();
+  for (auto call = state.running.begin(); call != state.running.end(); ++call) {
+    const RunningCall& running = call->second;
+    if (!running.cancellable || running.cancelled ||
+        Index(running.call_class) <= class_index) {
+      continue;
+    }
+    if (victim == state.running.end() ||
+        running.call_class >= victim->second.call_class) {
+      victim = call;
+    }
+  }
+  if (victim == state.running.end()) {
+    return false;
+  }
+  victim->second.cancelled = true;
+  ++state.cancels_pending;
+  actions.push_back(CancelCall{victim->first});
+  return true;
+}
+
+/// Cancels running work for calls that have waited for half of the target.
+void CancelForWaiting(AdmissionState& state,
+                      absl::Time now,
+                      AdmissionActions& actions) {
+  if (!state.settings.worker_accepts_cancel) {
+    return;
+  }
+  uint32_t waiting = 0;
+  for (size_t index = 0; index + 1 < kCallClassCount; ++index) {
+    for (const AdmissionCall& call : state.queues[index]) {
+      if (now - call.arrived < call.queue_target / 2) {
+        continue;
+      }
+      ++waiting;
+      if (waiting > state.cancels_pending &&
+          !CancelRunning(state, index, actions)) {
+        break;
+      }
+    }
+  }
+}
+
+void ShedOverdue(AdmissionState& state,
+                 absl::Time now,
+                 AdmissionActions& actions) {
+  // A call for which running work was cancelled is about to get its slot.
+  uint32_t excused = state.cancels_pending;
+  for (size_t index = 0; index < kCallClassCount; ++index) {
+    Queue& queue = state.queues[index];
+    for (size_t at = queue.size(); at > 0; --at) {
+      const auto call = queue.begin() + static_cast<ptrdiff_t>(at - 1);
+      if (now - call->arrived <= AllowedWait(state, *call, now)) {
+        continue;
+      }
+      if (excused > 0) {
+        --excused;
+        continue;
+      }
+      ShedBelow(state, index, now, actions);
+      if (call->depth > 0) {
+        at -= ShedRoots(state, index, at - 1, now, actions);
+      }
+      ShedForOverload(state, index,
+                      queue.begin() + static_cast<ptrdiff_t>(at - 1),
+                      Reason::kOverloaded, now, actions);
+    }
+  }
+}
+
+bool StartsBefore(const AdmissionCall& a,
+                  const AdmissionCall& b,
+                  bool newest_first) {
+  // Work was already done for a nested call, which is wasted if it fails.
+  if (a.depth != b.depth) {
+    return a.depth > b.depth;
+  }
+  if (newest_first) {
+    return a.id > b.id;
+  }
+  return a.deadline != b.deadline ? a.deadline < b.deadline : a.id < b.id;
+}
+
+bool NewestFirst(const AdmissionState& state,
+                 size_t class_index,
+                 absl::Time now) {
+  switch (state.settings.order) {
+    case QueueOrder::kDeadline:
+      return false;
+    case QueueOrder::kNewest:
+      return true;
+    case QueueOrder::kAdaptive:
+      break;
+  }
+  return now - state.empty_at[class_index] > state.settings.burst;
+}
+
+/// Most important class with a queue.
+absl::optional<size_t> FirstQueuedClass(const AdmissionState& state) {
+  for (size_t index = 0; index < kCallClassCount; ++index) {
+    if (!state.queues[index].empty()) {
+      return index;
+    }
+  }
+  return absl::nullopt;
+}
+
+void StartQueued(AdmissionState& state,
+                 uint32_t limit,
+                 absl::Time now,
+                 AdmissionActions& actions) {
+  if (state.running.size() < limit) {
+    DropExpired(state, now, actions);
+  }
+  while (state.running.size() < limit) {
+    const auto index = FirstQueuedClass(state);
+    if (!index) {
+      return;
+    }
+    Queue& queue = state.queues[*index];
+    const bool newest_first = NewestFirst(state, *index, now);
+    const auto next = std::min_element(
+        queue.begin(), queue.end(),
+        [newest_first](const AdmissionCall& a, const AdmissionCall& b) {
+          return StartsBefore(a, b, newest_first);
+        });
+    state.last_wait = now - next->arrived;
+    state.running[next->id] = {next->call_class, next->cancellable, false};
+    actions.push_back(StartCall{next->id});
+    queue.erase(next);
+  }
+}
+
+/// Sheds the least important call of a full queue. Of one class, that is the
+/// root request with the least time left, unless it would make room for
+/// another root request: then the arrival is refused at once.
+void ShedLeastImportant(AdmissionState& state,
+                        const AdmissionCall& arrival,
+                        absl::Time now,
+                        AdmissionActions& actions) {
+  const size_t index = *LeastQueuedClass(state);
+  Queue& queue = state.queues[index];
+  const auto victim = std::min_element(
+      queue.begin(), queue.end(),
+      [&arrival](const AdmissionCall& a, const AdmissionCall& b) {
+        if (a.depth != b.depth) {
+          return a.depth < b.depth;
+        }
+        if ((a.id == arrival.id) != (b.id == arrival.id)) {
+          return a.id == arrival.id;
+        }
+        return a.deadline != b.deadline ? a.deadline < b.deadline : a.id < b.id;
+      });
+  if (CancelRunning(state, index, actions)) {
+    return;
+  }
+  const bool refused = victim->id == arrival.id;
+  ShedForOverload(state, index, victim,
+                  refused ? Reason::kOverloaded : Reason::kDisplaced, now,
+                  actions);
+}
+
+void Advance(AdmissionState& state,
+             uint32_t limit,
+             absl::Time now,
+             AdmissionActions& actions) {
+  DropExpired(state, now, actions);
+  NoteEmptyQueues(state, now);
+  StartQueued(state, limit, now, actions);
+  NoteEmptyQueues(state, now);
+  CancelForWaiting(state, now, actions);
+}
+
+}  // namespace
+
+AdmissionState MakeAdmission(const AdmissionSettings& settings) {
+  AdmissionState state;
+  state.settings = settings;
+  state.shed_at.fill(absl::InfinitePast());
+  state.nested_shed_at.fill(absl::InfinitePast());
+  state.empty_at.fill(absl::InfinitePast());
+  return state;
+}
+
+AdmissionActions OnArrival(AdmissionState& state,
+                           const AdmissionCall& call,
+                           uint32_t limit,
+                           absl::Time now) {
+  const absl::Duration left = call.deadline - now;
+  if (left <= absl::ZeroDuration() || left < call.min_service) {
+    return {ShedCall{call.id, Reason::kDeadline}};
+  }
+  const size_t index = Index(call.call_class);
+  const size_t refused = RefusedClass(state, now);
+  const bool nested_was_shed =
+      now < state.nested_shed_at[index] + state.settings.refusal_hold;
+  if (index > refused || (call.depth == 0 && nested_was_shed)) {
+    state.shed_at[index] = now;
+    return {ShedCall{call.id, Reason::kOverloaded}};
+  }
+  NoteEmptyQueues(state, now);
+  state.queues[index].push_back(call);
+  AdmissionActions actions;
+  StartQueued(state, limit, now, actions);
+  const size_t room = state.settings.max_queue + state.cancels_pending;
+  if (QueuedCalls(state) > room) {
+    ShedLeastImportant(state, call, now, actions);
+  }
+  return actions;
+}
+
+AdmissionActions OnFinished(AdmissionState& state,
+                            uint64_t id,
+                            uint32_t limit,
+                            absl::Time now) {
+  const auto found = state.running.find(id);
+  assert(found != state.running.end());
+  if (found->second.cancelled) {
+    --state.cancels_pending;
+  }
+  state.running.erase(found);
+  AdmissionActions actions;
+  Advance(state, limit, now, actions);
+  return actions;
+}
+
+bool OnCancel(AdmissionState& state, uint64_t id) {
+  for (Queue& queue : state.queues) {
+    const auto found =
+        std::find_if(queue.begin(), queue.end(),
+                     [id](const AdmissionCall& call) { return call.id == id; });
+    if (found != queue.end()) {
+      queue.erase(found);
+      return true;
+    }
+  }
+  return false;
+}
+
+AdmissionActions OnTick(AdmissionState& state, uint32_t limit, absl::Time now) {
+  AdmissionActions actions;
+  Advance(state, limit, now, actions);
+  ShedOverdue(state, now, actions);
+  return actions;
+}
+
+AdmissionActions ShedQueued(AdmissionState& state, Reason reason) {
+  AdmissionActions actions;
+  for (size_t index = kCallClassCount; index > 0; --index) {
+    for (const AdmissionCall& call : state.queues[index - 1]) {
+      actions.push_back(ShedCall{call.id, reason});
+    }
+    state.queues[index - 1].clear();
+  }
+  return actions;
+}
+
+uint32_t AdmissionLevel(const AdmissionState& state,
+                        uint32_t limit,
+                        absl::Time now) {
+  if (limit == 0) {
+    return 0;
+  }
+  const bool full = state.running.size() >= limit &&
+                    QueuedCalls(state) >= state.settings.max_queue;
+  size_t level = RefusedClass(state, now);
+  if (full) {
+    level = std::min(level, LeastQueuedClass(state).value_or(kCallClassCount));
+  }
+  return static_cast<uint32_t>(level);
+}
+
+size_t QueuedCalls(const AdmissionState& state) {
+  size_t total = 0;
+  for (const Queue& queue : state.queues) {
+    total += queue.size();
+  }
+  return total;
+}
+
+}  // namespace boragepaddle::admission
--- a/src/boragepaddle/daemon/caller_service.cc
+++ b/src/boragepaddle/daemon/caller_service.cc
@@ -88,6 +88,7 @@
   call.body = http.body;
   if (context) {
     call.child = true;
+    call.depth = context->child_depth;
     call.request_id = context->request_id;
     call.call_class = context->call_class;
     call.tokens = context->tokens;
--- a/src/boragepaddle/daemon/ingress_server.h
+++ b/src/boragepaddle/daemon/ingress_server.h
@@ -2,11 +2,14 @@
 #define BORAGEPADDLE_DAEMON_INGRESS_SERVER_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/types/span.h"
 #include "boragepaddle/daemon/logger.h"
 #include "boragepaddle/daemon/peer_hub.h"
 #include "boragepaddle/daemon/request_contexts.h"
@@ -23,17 +26,29 @@
 /// local worker.
 class IngressServer {
  public:
+  /// Returns an open connection to a peer address; null if there is none.
+  using PeerConnector = std::function<PeerLinkPtr(const std::string& address)>;
+
   IngressServer(const schema::NodeSettings& settings,
                 uint64_t incarnation,
                 RuleBook& rules,
                 RequestContexts& contexts,
-                transport::WorkerClient& worker);
+                transport::WorkerClient& worker,
+                PeerConnector connect);
   ~IngressServer();
 
   void OnLinkOpen(const PeerLinkPtr& link);
   void OnCallRequest(const PeerLinkPtr& link, schema::CallRequest request);
   void OnCancel(const PeerLinkPtr& link, const schema::CancelCall& cancel);
   void OnLinkClosed(const PeerLinkPtr& link);
+  void OnTicketRequest(const PeerLinkPtr& link,
+                       const schema::TicketRequest& request);
+  void OnCrashReport(const PeerLinkPtr& link,
+                     const schema::CrashReport& report);
+  void OnCrashAck(const PeerLinkPtr& link, const schema::CrashAck& ack);
+
+  /// Installs the VM list. Crash reports go to the VMs of the own service.
+  void SetVms(absl::Span<const schema::VmEntry> vms);
 
   /// Address that the worker uses for its own calls.
   void SetWorkerListener(const std::string& address);
@@ -46,7 +61,13 @@
 
  private:
   void Perform(node::IngressActions actions);
+  void Send(uint64_t link_id, const schema::Message& message);
+  void CancelAtWorker(node::CallKey key);
+  void ProbeWorker();
+  void Report(const node::ReportCrash& report);
+  void ReportTo(const schema::VmEntry& vm, const node::ReportCrash& report);
   void Run(node::CallKey key);
+  void RunAtWorker(node::CallKey key, const node::IngressCall& call);
   node::WorkerAnswer CallWorker(const node::IngressCall& call,
                                 const std::string& context_id,
                                 node::CallKey key);
@@ -57,14 +78,18 @@
   RuleBook& rules;
   RequestContexts& contexts;
   transport::WorkerClient& worker;
+  const PeerConnector connect;
   const Logger log{"ingress"};
   absl::Mutex mutex;
   node::IngressState state ABSL_GUARDED_BY(mutex);
   absl::Mutex links_mutex;
   absl::flat_hash_map<uint64_t, PeerLinkPtr> links ABSL_GUARDED_BY(links_mutex);
   std::string worker_listener ABSL_GUARDED_BY(links_mutex);
+  std::vector<schema::VmEntry> peers ABSL_GUARDED_BY(links_mutex);
   bool stopping ABSL_GUARDED_BY(mutex) = false;
   transport::ElasticPool pool;
+  /// For messages that must not wait for a free slot of the worker.
+  transport::ElasticPool control_pool;
   std::thread ticker;
 };
 
--- a/src/boragepaddle/daemon/message_router.cc
+++ b/src/boragepaddle/daemon/message_router.cc
@@ -25,6 +25,12 @@
     this->ingress.OnCancel(link, *cancel);
   } else if (auto* grant = std::get_if<schema::TicketGrant>(&message)) {
     this->attempts.OnGrant(link->id(), std::move(*grant));
+  } else if (auto* ticket = std::get_if<schema::TicketRequest>(&message)) {
+    this->ingress.OnTicketRequest(link, *ticket);
+  } else if (auto* report = std::get_if<schema::CrashReport>(&message)) {
+    this->ingress.OnCrashReport(link, *report);
+  } else if (auto* ack = std::get_if<schema::CrashAck>(&message)) {
+    this->ingress.OnCrashAck(link, *ack);
   }
 }
 
--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -33,7 +33,10 @@
               this->incarnation,
               this->rules,
               this->contexts,
-              this->worker),
+              this->worker,
+              [this](const std::string& address) {
+                return this->hub.Connect(address);
+              }),
       router(this->ingress, this->attempts),
       hub([this] { return this->MakeHello(); }, this->router),
       egress({settings.availability_zone, settings.region},
@@ -81,7 +84,8 @@
   }
   this->ingress.SetWorkerListener(local.value());
   this->poller = std::make_unique<PlatformPoller>(
-      this->settings.platform_address, this->rules, this->egress);
+      this->settings.platform_address, this->rules, this->egress,
+      this->ingress);
   return BoundAddresses{caller.value(), local.value(),
                         this->peer_listener->address(), operations.value()};
 }
--- a/src/boragepaddle/daemon/platform_poller.cc
+++ b/src/boragepaddle/daemon/platform_poller.cc
@@ -42,10 +42,12 @@
 
 PlatformPoller::PlatformPoller(const std::string& platform_address,
                                RuleBook& rules,
-                               EgressClient& egress)
+                               EgressClient& egress,
+                               IngressServer& ingress)
     : url(absl::StrCat("http://", platform_address)),
       rules(rules),
-      egress(egress) {
+      egress(egress),
+      ingress(ingress) {
   this->thread = std::thread([this] { this->Loop(); });
 }
 
@@ -93,6 +95,7 @@
     vms.push_back(ToVmEntry(vm));
   }
   this->egress.SetUpstreams(vms);
+  this->ingress.SetVms(vms);
 }
 
 }  // namespace boragepaddle::daemon
--- a/src/boragepaddle/daemon/platform_poller.h
+++ b/src/boragepaddle/daemon/platform_poller.h
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "boragepaddle/daemon/egress_client.h"
+#include "boragepaddle/daemon/ingress_server.h"
 #include "boragepaddle/daemon/logger.h"
 #include "boragepaddle/daemon/rule_book.h"
 
@@ -16,7 +17,8 @@
  public:
   PlatformPoller(const std::string& platform_address,
                  RuleBook& rules,
-                 EgressClient& egress);
+                 EgressClient& egress,
+                 IngressServer& ingress);
   ~PlatformPoller();
 
  private:
@@ -27,6 +29,7 @@
   const std::string url;
   RuleBook& rules;
   EgressClient& egress;
+  IngressServer& ingress;
   const Logger log{"platform"};
   uint64_t list_revision = 0;
   std::atomic<bool> stopping{false};
--- a/src/boragepaddle/daemon/request_contexts.h
+++ b/src/boragepaddle/daemon/request_contexts.h
@@ -19,6 +19,8 @@
   std::string request_id;
   schema::CallClass call_class = schema::CallClass::kBulk;
   absl::Time deadline;
+  /// Depth of its child calls in the chain.
+  uint32_t child_depth = 1;
   retry::TokenBudget tokens;
 };
 
--- a/src/boragepaddle/node/egress.cc
+++ b/src/boragepaddle/node/egress.cc
@@ -34,6 +34,7 @@
   request.fingerprint =
       base::StableHash({call.service, call.operation, call.body});
   request.body = call.body;
+  request.depth = call.depth;
   return request;
 }
 
--- a/src/boragepaddle/node/egress.h
+++ b/src/boragepaddle/node/egress.h
@@ -29,6 +29,8 @@
   retry::TokenBudget tokens;
   /// True if a local worker makes the call inside a running request.
   bool child = false;
+  /// Calls above this one in the chain.
+  uint32_t depth = 0;
 
   /// Upstreams that have been tried.
   std::vector<std::string> tried;
--- a/src/boragepaddle/node/ingress.cc
+++ b/src/boragepaddle/node/ingress.cc
@@ -1,6 +1,12 @@
 #include "boragepaddle/node/ingress.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "absl/types/optional.h"
+#include "boragepaddle/base/stable_hash.h"
+#include "boragepaddle/node/ingress_answer.h"
+#include "boragepaddle/node/ingress_crash.h"
 
 namespace boragepaddle::node {
 
@@ -9,57 +15,167 @@
 using schema::Outcome;
 using schema::Reason;
 
-schema::CallAnswer MakeAnswer(const IngressState& state,
-                              uint64_t attempt_id,
-                              Outcome outcome,
-                              Reason reason) {
-  schema::CallAnswer answer;
-  answer.attempt_id = attempt_id;
-  answer.incarnation = state.settings.incarnation;
-  answer.outcome = outcome;
-  answer.reason = reason;
-  answer.in_flight = state.running;
-  answer.admission_level = state.queue.size() < state.settings.max_queue
-                               ? schema::kCallClassCount
-                               : 0;
-  return answer;
-}
-
-AnswerCall Refuse(const IngressState& state,
-                  CallKey key,
-                  const schema::CallRequest& request,
-                  Reason reason) {
-  AnswerCall action{
-      key, MakeAnswer(state, key.attempt_id, Outcome::kNotRun, reason)};
-  action.answer.tokens_left = request.retry_tokens;
-  return action;
+constexpr uint32_t kStatusUnavailable = 503;
+constexpr absl::Duration kExpireInterval = absl::Seconds(1);
+// Suspects run one at a time. More of them than this would only wait for
+// their deadline.
+constexpr size_t kMaxSuspects = 64;
+
+/// Why a call that was begun neither now nor earlier is refused on arrival.
+absl::optional<Reason> RefusalOnArrival(const IngressState& state,
+                                        const IngressCall& call,
+                                        absl::Duration transit,
+                                        absl::Time link_opened) {
+  if (state.leaving) {
+    return Reason::kLeaving;
+  }
+  if (call.deadline <= call.arrived) {
+    return Reason::kDeadline;
+  }
+  // The sender of an old frame may have left, and its cancel may be the next
+  // frame.
+  const bool link_untrusted =
+      JustWoke(state.pause, call.arrived) && link_opened >= state.pause.woke_at;
+  if (transit > state.pause.gap || link_untrusted) {
+    return Reason::kPaused;
+  }
+  if (state.worker == WorkerState::kDown) {
+    return Reason::kWorkerLost;
+  }
+  return absl::nullopt;
 }
 
-void StartQueued(IngressState& state, IngressActions& actions) {
-  while (state.running < state.settings.slots && !state.queue.empty()) {
-    const CallKey key = state.queue.front();
-    state.queue.pop_front();
-    ++state.running;
-    state.calls.at(key).running = true;
-    actions.push_back(RunCall{key});
+absl::optional<Reason> RefusalByQuarantine(quarantine::Verdict verdict) {
+  switch (verdict) {
+    case quarantine::Verdict::kRefuse:
+      return Reason::kQuarantined;
+    case quarantine::Verdict::kElsewhere:
+      return Reason::kCrashSuspect;
+    case quarantine::Verdict::kFree:
+    case quarantine::Verdict::kAlone:
+      return absl::nullopt;
   }
+  return absl::nullopt;
 }
 
-void RefuseQueued(IngressState& state,
+/// Quarantine and admission of a call that has passed the other checks.
+void Judge(IngressState& state,
+           CallKey key,
+           absl::Time now,
+           IngressActions& actions) {
+  const uint64_t fingerprint = state.calls.at(key).request.fingerprint;
+  const auto verdict = quarantine::Judge(state.quarantine, fingerprint, now);
+  const auto refusal = RefusalByQuarantine(verdict);
+  if (refusal) {
+    return RefuseCall(state, key, *refusal, now, actions);
+  }
+  if (verdict == quarantine::Verdict::kFree) {
+    return Admit(state, key, now, actions);
+  }
+  if (state.suspects.size() >= kMaxSuspects) {
+    return RefuseCall(state, key, Reason::kOverloaded, now, actions);
+  }
+  state.suspects.push_back(key);
+}
+
+void AnswerStored(const IngressState& state,
                   CallKey key,
-                  Reason reason,
+                  uint32_t retry_tokens,
+                  execution::StoredAnswer stored,
+                  absl::Time now,
                   IngressActions& actions) {
-  const auto found = state.calls.find(key);
-  actions.push_back(Refuse(state, key, found->second.request, reason));
-  state.calls.erase(found);
-  state.queue.erase(std::find(state.queue.begin(), state.queue.end(), key));
+  AnswerCall action{key, MakeAnswer(state, key.attempt_id, stored.outcome,
+                                    stored.reason, now)};
+  action.answer.status = stored.status;
+  action.answer.content_type = std::move(stored.content_type);
+  action.answer.body = std::move(stored.body);
+  action.answer.tokens_left = retry_tokens;
+  actions.push_back(std::move(action));
+}
+
+/// Looks the call's ticket up. False if the call is a repeat, which then has
+/// its answer or waits.
+bool BeginTicket(IngressState& state,
+                 CallKey key,
+                 IngressCall& call,
+                 absl::Time now,
+                 IngressActions& actions) {
+  if (call.request.ticket.empty()) {
+    return true;
+  }
+  const execution::Waiter waiter{key.link_id, key.attempt_id,
+                                 call.request.retry_tokens};
+  execution::BeginResult begun = execution::Begin(
+      state.table, call.request.ticket, call.request.fingerprint, waiter, now);
+  switch (begun.verdict) {
+    case execution::BeginVerdict::kFirst:
+      call.ticket_sequence = begun.sequence;
+      return true;
+    case execution::BeginVerdict::kWait:
+      state.repeats[key] = begun.sequence;
+      return false;
+    case execution::BeginVerdict::kAnswered:
+      AnswerStored(state, key, call.request.retry_tokens,
+                   std::move(begun.answer), now, actions);
+      return false;
+  }
+  return false;
+}
+
+/// True if somebody waits for the result of the call.
+bool IsWanted(const IngressState& state, const IngressCall& call) {
+  return !call.sender_gone ||
+         (call.ticket_sequence != 0 &&
+          execution::HasWaiters(state.table, call.ticket_sequence));
+}
+
+/// Why a call must not be handed over any more.
+absl::optional<Reason> RefusalAtHandOver(const IngressState& state,
+                                         const IngressCall& call,
+                                         absl::Time now) {
+  if (now >= call.deadline) {
+    return Reason::kDeadline;
+  }
+  if (!IsWanted(state, call)) {
+    return Reason::kSenderGone;
+  }
+  if (call.arrived < state.pause.woke_at) {
+    return Reason::kPaused;
+  }
+  if (state.worker != WorkerState::kUp) {
+    return Reason::kWorkerLost;
+  }
+  if (call.suspect) {
+    // It runs as the single suspect; only a second crash elsewhere stops it.
+    const auto verdict =
+        quarantine::Judge(state.quarantine, call.request.fingerprint, now);
+    return verdict == quarantine::Verdict::kRefuse
+               ? absl::optional<Reason>(Reason::kQuarantined)
+               : absl::nullopt;
+  }
+  // A report may have come in while the call was queued.
+  switch (quarantine::Judge(state.quarantine, call.request.fingerprint, now)) {
+    case quarantine::Verdict::kFree:
+      return absl::nullopt;
+    case quarantine::Verdict::kRefuse:
+      return Reason::kQuarantined;
+    case quarantine::Verdict::kAlone:
+    case quarantine::Verdict::kElsewhere:
+      return Reason::kCrashSuspect;
+  }
+  return absl::nullopt;
 }
 
-void FillFromWorker(WorkerAnswer worker, schema::CallAnswer& answer) {
+void FillFromWorker(WorkerAnswer worker,
+                    bool cancelled,
+                    schema::CallAnswer& answer) {
   switch (worker.end) {
     case WorkerCallEnd::kAnswered:
+      if (cancelled && worker.status == kStatusUnavailable) {
+        answer.reason = Reason::kCancelled;
+        return;
+      }
       answer.outcome = Outcome::kCompleted;
-      answer.reason = Reason::kNone;
       answer.status = worker.status;
       answer.content_type = std::move(worker.content_type);
       answer.body = std::move(worker.body);
@@ -77,50 +193,200 @@
   }
 }
 
+/// Learns from the end of a call: delays and harmless requests.
+void Learn(IngressState& state,
+           const IngressCall& call,
+           WorkerCallEnd end,
+           absl::Time now,
+           IngressActions& actions) {
+  const bool answered = end == WorkerCallEnd::kAnswered && !call.cancelled;
+  if (answered || end == WorkerCallEnd::kTimeout) {
+    limits::OnSample(
+        state.limit, base::StableHash({call.request.operation}), call.begun,
+        static_cast<uint32_t>(state.admission.running.size()), now);
+  }
+  if (!answered) {
+    return;
+  }
+  RecordServiceTime(state, call, now);
+  const auto cleared =
+      quarantine::OnCompleted(state.quarantine, call.request.fingerprint, now);
+  if (cleared) {
+    actions.push_back(ReportCrash{0, {*cleared}});
+  }
+}
+
+void CancelQueued(IngressState& state,
+                  CallKey key,
+                  absl::Time now,
+                  IngressActions& actions) {
+  IngressCall& call = state.calls.at(key);
+  call.sender_gone = true;
+  if (IsWanted(state, call)) {
+    return;
+  }
+  if (!admission::OnCancel(state.admission, call.id)) {
+    auto& lane = state.suspects;
+    lane.erase(std::remove(lane.begin(), lane.end(), key), lane.end());
+  }
+  RefuseCall(state, key, Reason::kCancelled, now, actions);
+}
+
+void CancelRepeat(IngressState& state,
+                  CallKey key,
+                  absl::Time now,
+                  IngressActions& actions) {
+  const auto found = state.repeats.find(key);
+  execution::RemoveWaiter(state.table, found->second,
+                          {key.link_id, key.attempt_id, 0});
+  state.repeats.erase(found);
+  actions.push_back(
+      AnswerCall{key, MakeAnswer(state, key.attempt_id, Outcome::kUnknown,
+                                 Reason::kCancelled, now)});
+}
+
+void Cancel(IngressState& state,
+            CallKey key,
+            absl::Time now,
+            IngressActions& actions) {
+  if (state.repeats.contains(key)) {
+    return CancelRepeat(state, key, now, actions);
+  }
+  const auto found = state.calls.find(key);
+  if (found == state.calls.end()) {
+    return;
+  }
+  IngressCall& call = found->second;
+  if (!call.running) {
+    return CancelQueued(state, key, now, actions);
+  }
+  call.sender_gone = true;
+  // A call that must run at most once goes on, so that a resend gets its
+  // outcome.
+  const bool may_stop = !call.rule.at_most_once && call.ticket_sequence == 0;
+  if (may_stop && call.begun != absl::InfinitePast() &&
+      state.settings.worker_accepts_cancel) {
+    actions.push_back(CancelRunningCall{key});
+  }
+}
+
+void DropExpiredSuspects(IngressState& state,
+                         absl::Time now,
+                         IngressActions& actions) {
+  const std::deque<CallKey> lane = state.suspects;
+  for (const CallKey key : lane) {
+    if (state.calls.at(key).deadline <= now) {
+      state.suspects.erase(
+          std::find(state.suspects.begin(), state.suspects.end(), key));
+      RefuseCall(state, key, Reason::kDeadline, now, actions);
+    }
+  }
+}
+
 }  // namespace
 
+IngressState MakeIngress(const IngressSettings& settings) {
+  IngressState state;
+  state.settings = settings;
+  admission::AdmissionSettings queues;
+  queues.max_queue = settings.max_queue;
+  queues.worker_accepts_cancel = settings.worker_accepts_cancel;
+  state.admission = admission::MakeAdmission(queues);
+  limits::LimitSettings limit;
+  limit.slots = settings.slots;
+  state.limit = limits::MakeLimit(limit);
+  execution::TableSettings table;
+  table.vm_id = settings.vm_id;
+  table.incarnation = settings.incarnation;
+  state.table = execution::MakeTable(table, settings.ticket_secret);
+  state.quarantine.settings.service = settings.service;
+  state.quarantine.settings.vm_id = settings.vm_id;
+  return state;
+}
+
+void OnLinkOpen(IngressState& state,
+                uint64_t link_id,
+                int64_t sent_at_us,
+                absl::Time now) {
+  NoteEvent(state.pause, now);
+  TransitClock& clock = state.links[link_id];
+  clock.opened = now;
+  TimeInTransit(clock, sent_at_us, !JustWoke(state.pause, now), now);
+}
+
 IngressActions OnCallRequest(IngressState& state,
                              uint64_t link_id,
                              schema::CallRequest request,
                              const CallRule& rule,
                              absl::Time now) {
+  NoteEvent(state.pause, now);
   const CallKey key{link_id, request.attempt_id};
-  if (state.leaving) {
-    return {Refuse(state, key, request, Reason::kLeaving)};
-  }
-  if (request.deadline_us <= 0) {
-    return {Refuse(state, key, request, Reason::kDeadline)};
-  }
-  if (state.queue.size() >= state.settings.max_queue) {
-    return {Refuse(state, key, request, Reason::kOverloaded)};
+  if (state.calls.contains(key) || state.repeats.contains(key)) {
+    return {};
   }
+  TransitClock& clock = state.links[link_id];
+  const absl::Duration transit = TimeInTransit(
+      clock, request.sent_at_us, !JustWoke(state.pause, now), now);
   IngressCall call;
-  call.deadline = now + absl::Microseconds(request.deadline_us);
+  call.arrived = now;
+  call.deadline = now + absl::Microseconds(request.deadline_us) - transit;
   call.request = std::move(request);
   call.rule = rule;
-  if (!state.calls.emplace(key, std::move(call)).second) {
-    return {};
-  }
-  state.queue.push_back(key);
+  call.id = state.next_id++;
   IngressActions actions;
-  StartQueued(state, actions);
+  if (!BeginTicket(state, key, call, now, actions)) {
+    return actions;
+  }
+  const auto refusal = RefusalOnArrival(state, call, transit, clock.opened);
+  state.keys[call.id] = key;
+  state.calls.emplace(key, std::move(call));
+  if (refusal) {
+    RefuseCall(state, key, *refusal, now, actions);
+    return actions;
+  }
+  Judge(state, key, now, actions);
+  AdmitSuspects(state, now, actions);
   return actions;
 }
 
+IngressActions OnTicketRequest(IngressState& state,
+                               uint64_t link_id,
+                               const schema::TicketRequest& request,
+                               absl::Time now) {
+  NoteEvent(state.pause, now);
+  GrantTicket action;
+  action.link_id = link_id;
+  action.grant.attempt_id = request.attempt_id;
+  const bool admitted =
+      static_cast<uint32_t>(request.call_class) < IngressLevel(state, now);
+  if (admitted) {
+    action.grant.outcome = Outcome::kCompleted;
+    action.grant.ticket = execution::IssueTicket(state.table, now);
+  } else {
+    // Another upstream may have room, and nothing binds the request yet.
+    action.grant.outcome = Outcome::kNotRun;
+    action.grant.reason =
+        state.leaving ? Reason::kLeaving : Reason::kOverloaded;
+  }
+  return {std::move(action)};
+}
+
 const IngressCall* BeginRun(IngressState& state,
                             CallKey key,
                             absl::Time now,
                             IngressActions& actions) {
-  const IngressCall& call = state.calls.at(key);
-  const bool expired = now >= call.deadline;
-  if (!expired && !call.sender_gone) {
+  NoteEvent(state.pause, now);
+  IngressCall& call = state.calls.at(key);
+  const auto refusal = RefusalAtHandOver(state, call, now);
+  if (!refusal) {
+    call.begun = now;
     return &call;
   }
-  const Reason reason = expired ? Reason::kDeadline : Reason::kSenderGone;
-  actions.push_back(Refuse(state, key, call.request, reason));
-  state.calls.erase(key);
-  --state.running;
-  StartQueued(state, actions);
+  const auto decisions = admission::OnFinished(state.admission, call.id,
+                                               RunLimit(state, now), now);
+  RefuseCall(state, key, *refusal, now, actions);
+  Apply(state, decisions, now, actions);
+  AdmitSuspects(state, now, actions);
   return nullptr;
 }
 
@@ -128,61 +394,75 @@
                            CallKey key,
                            WorkerAnswer answer,
                            uint32_t tokens_left,
-                           absl::Time /*now*/) {
-  --state.running;
-  AnswerCall action{
-      key, MakeAnswer(state, key.attempt_id, Outcome::kUnknown, Reason::kNone)};
-  FillFromWorker(std::move(answer), action.answer);
-  action.answer.tokens_left = tokens_left;
-  state.calls.erase(key);
-  IngressActions actions{std::move(action)};
-  StartQueued(state, actions);
+                           absl::Time now) {
+  NoteEvent(state.pause, now);
+  IngressActions actions;
+  const IngressCall& call = state.calls.at(key);
+  const bool cancelled = call.cancelled || call.sender_gone;
+  const WorkerCallEnd end = answer.end;
+  Learn(state, call, end, now, actions);
+  if (end == WorkerCallEnd::kTimeout && state.settings.worker_accepts_cancel) {
+    // Nobody waits for the result, and the worker may still be at it.
+    actions.push_back(CancelRunningCall{key});
+  }
+  const uint64_t crash = OnCallLeftWorker(state, key, end, now, actions);
+  const auto decisions = admission::OnFinished(state.admission, call.id,
+                                               RunLimit(state, now), now);
+  schema::CallAnswer message =
+      MakeAnswer(state, key.attempt_id, Outcome::kUnknown, Reason::kNone, now);
+  FillFromWorker(std::move(answer), cancelled, message);
+  message.tokens_left = tokens_left;
+  EndCall(state, key, std::move(message), crash, actions);
+  Apply(state, decisions, now, actions);
+  AdmitSuspects(state, now, actions);
   return actions;
 }
 
-IngressActions OnCancel(IngressState& state, CallKey key, absl::Time /*now*/) {
-  const auto found = state.calls.find(key);
-  if (found == state.calls.end()) {
-    return {};
-  }
+IngressActions OnCancel(IngressState& state, CallKey key, absl::Time now) {
+  NoteEvent(state.pause, now);
   IngressActions actions;
-  if (found->second.running) {
-    found->second.sender_gone = true;
-    actions.push_back(CancelRunningCall{key});
-  } else {
-    RefuseQueued(state, key, Reason::kCancelled, actions);
-  }
+  Cancel(state, key, now, actions);
+  AdmitSuspects(state, now, actions);
   return actions;
 }
 
 IngressActions OnLinkClosed(IngressState& state,
                             uint64_t link_id,
                             absl::Time now) {
+  NoteEvent(state.pause, now);
+  state.links.erase(link_id);
   std::vector<CallKey> keys;
-  for (const auto& [key, call] : state.calls) {
-    if (key.link_id == link_id) {
-      keys.push_back(key);
-    }
+  const CallKey first{link_id, 0};
+  for (auto next = state.calls.lower_bound(first);
+       next != state.calls.end() && next->first.link_id == link_id; ++next) {
+    keys.push_back(next->first);
+  }
+  for (auto next = state.repeats.lower_bound(first);
+       next != state.repeats.end() && next->first.link_id == link_id; ++next) {
+    keys.push_back(next->first);
   }
   IngressActions actions;
   for (const CallKey key : keys) {
-    for (IngressAction& action : OnCancel(state, key, now)) {
-      actions.push_back(std::move(action));
-    }
+    Cancel(state, key, now, actions);
   }
+  AdmitSuspects(state, now, actions);
   return actions;
 }
 
 IngressActions OnTick(IngressState& state, absl::Time now) {
-  std::vector<CallKey> expired;
-  for (const CallKey key : state.queue) {
-    if (state.calls.at(key).deadline <= now) {
-      expired.push_back(key);
-    }
-  }
+  NoteEvent(state.pause, now);
   IngressActions actions;
-  for (const CallKey key : expired) {
-    RefuseQueued(state, key, Reason::kDeadline, actions);
+  limits::OnTick(state.limit,
+                 static_cast<uint32_t>(state.admission.running.size()), now);
+  Apply(state, admission::OnTick(state.admission, RunLimit(state, now), now),
+        now, actions);
+  DropExpiredSuspects(state, now, actions);
+  AdmitSuspects(state, now, actions);
+  TickCrashes(state, now, actions);
+  if (now >= state.expired_at + kExpireInterval) {
+    state.expired_at = now;
+    execution::Expire(state.table, now);
+    quarantine::Expire(state.quarantine, now);
   }
   return actions;
 }
@@ -192,7 +472,7 @@
 }
 
 bool IsDrained(const IngressState& state) {
-  return state.calls.empty();
+  return state.calls.empty() && state.repeats.empty() && state.crashes.empty();
 }
 
 }  // namespace boragepaddle::node
--- a/src/boragepaddle/node/ingress.h
+++ b/src/boragepaddle/node/ingress.h
@@ -2,44 +2,24 @@
 #define BORAGEPADDLE_NODE_INGRESS_H_
 
 #include <cstdint>
-#include <deque>
-#include <utility>
+#include <string>
 #include <variant>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "boragepaddle/node/call_rule.h"
+#include "boragepaddle/node/ingress_state.h"
 #include "boragepaddle/node/worker_answer.h"
 #include "boragepaddle/schema/messages.h"
 
 namespace boragepaddle::node {
 
-/// Names a call at the node of the upstream: connection and attempt.
-struct CallKey {
-  uint64_t link_id = 0;
-  uint64_t attempt_id = 0;
-
-  friend bool operator==(const CallKey& a, const CallKey& b) {
-    return a.link_id == b.link_id && a.attempt_id == b.attempt_id;
-  }
-  template <typename H>
-  friend H AbslHashValue(H state, const CallKey& key) {
-    return H::combine(std::move(state), key.link_id, key.attempt_id);
-  }
-};
-
 /// Give the call to a worker thread, which first calls BeginRun.
 struct RunCall {
   CallKey key;
 };
 
-/// Send the answer on the call's connection.
-struct AnswerCall {
-  CallKey key;
-  schema::CallAnswer answer;
-};
-
 /// Ask the worker to cancel a running call.
 struct CancelRunningCall {
   CallKey key;
@@ -51,40 +31,29 @@
   schema::TicketGrant grant;
 };
 
-/// Tell the nodes of the own service about a crash.
+/// Send the reports to the other VMs of the service. With a crash id, each VM
+/// is to confirm, and OnReportResult tells the result.
 struct ReportCrash {
-  schema::CrashReport report;
+  uint64_t crash = 0;
+  std::vector<schema::CrashReport> reports;
 };
 
-using IngressAction = std::
-    variant<RunCall, AnswerCall, CancelRunningCall, GrantTicket, ReportCrash>;
-using IngressActions = std::vector<IngressAction>;
-
-/// Fixed properties of the node of an upstream.
-struct IngressSettings {
-  uint64_t incarnation = 0;
-  /// Requests that the worker runs at once.
-  uint32_t slots = 64;
-  uint32_t max_queue = 64;
-};
+/// Find out whether the worker accepts connections, then call OnWorkerProbe.
+struct ProbeWorker {};
 
-/// A call that was accepted and has not ended.
-struct IngressCall {
-  schema::CallRequest request;
-  CallRule rule;
-  absl::Time deadline;
-  bool running = false;
-  bool sender_gone = false;
-};
+using IngressAction = std::variant<RunCall,
+                                   AnswerCall,
+                                   CancelRunningCall,
+                                   GrantTicket,
+                                   ReportCrash,
+                                   ProbeWorker>;
+using IngressActions = std::vector<IngressAction>;
 
-/// Decisions of the node of an upstream about arriving calls.
-struct IngressState {
-  IngressSettings settings;
-  absl::flat_hash_map<CallKey, IngressCall> calls;
-  std::deque<CallKey> queue;
-  uint32_t running = 0;
-  bool leaving = false;
-};
+/// A connection was opened. `sent_at_us` is from the peer's Hello.
+void OnLinkOpen(IngressState& state,
+                uint64_t link_id,
+                int64_t sent_at_us,
+                absl::Time now);
 
 /// A call arrived on a connection.
 IngressActions OnCallRequest(IngressState& state,
@@ -93,6 +62,12 @@
                              const CallRule& rule,
                              absl::Time now);
 
+/// A ticket is asked for.
+IngressActions OnTicketRequest(IngressState& state,
+                               uint64_t link_id,
+                               const schema::TicketRequest& request,
+                               absl::Time now);
+
 /// Last check before the worker is given the call. Null if the call must not
 /// run any more; the actions then hold its answer.
 const IngressCall* BeginRun(IngressState& state,
@@ -107,6 +82,21 @@
                            uint32_t tokens_left,
                            absl::Time now);
 
+/// A probe ended. `accepts` is true if the worker took a connection.
+IngressActions OnWorkerProbe(IngressState& state, bool accepts, absl::Time now);
+
+/// A VM confirmed the reports of a crash, or cannot be reached.
+IngressActions OnReportResult(IngressState& state,
+                              uint64_t crash,
+                              absl::string_view vm_id,
+                              bool reached,
+                              absl::Time now);
+
+/// Another node reported a crash.
+void OnCrashReport(IngressState& state,
+                   const schema::CrashReport& report,
+                   absl::Time now);
+
 /// The sender no longer waits for the attempt.
 IngressActions OnCancel(IngressState& state, CallKey key, absl::Time now);
 
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -96,6 +96,12 @@
       return "too-many-connections";
     case Reason::kNotReady:
       return "not-ready";
+    case Reason::kCrashSuspect:
+      return "crash-suspect";
+    case Reason::kPaused:
+      return "paused";
+    case Reason::kAnswerNotKept:
+      return "answer-not-kept";
   }
   return "invalid";
 }
@@ -168,7 +174,7 @@
          a.call_class == b.call_class && a.deadline_us == b.deadline_us &&
          a.retry_tokens == b.retry_tokens && a.ticket == b.ticket &&
          a.at_most_once == b.at_most_once && a.fingerprint == b.fingerprint &&
-         a.body == b.body && a.sent_at_us == b.sent_at_us;
+         a.body == b.body && a.sent_at_us == b.sent_at_us && a.depth == b.depth;
 }
 
 bool operator!=(const CallRequest& a, const CallRequest& b) {
@@ -224,13 +230,23 @@
 
 bool operator==(const CrashReport& a, const CrashReport& b) {
   return a.service == b.service && a.fingerprint == b.fingerprint &&
-         a.crashes == b.crashes && a.expiry_us == b.expiry_us;
+         a.crashes == b.crashes && a.expiry_us == b.expiry_us &&
+         a.crash_id == b.crash_id && a.runner == b.runner &&
+         a.handover == b.handover && a.ack_id == b.ack_id;
 }
 
 bool operator!=(const CrashReport& a, const CrashReport& b) {
   return !(a == b);
 }
 
+bool operator==(const CrashAck& a, const CrashAck& b) {
+  return a.ack_id == b.ack_id;
+}
+
+bool operator!=(const CrashAck& a, const CrashAck& b) {
+  return !(a == b);
+}
+
 bool operator==(const ConfigAnnounce& a, const ConfigAnnounce& b) {
   return a.version == b.version && a.digest == b.digest;
 }
@@ -393,7 +409,7 @@
 }
 
 void Pack(Packer& packer, const CallRequest& value) {
-  packer.pack_array(12);
+  packer.pack_array(13);
   Pack(packer, value.attempt_id);
   Pack(packer, value.request_id);
   Pack(packer, value.service);
@@ -406,6 +422,7 @@
   Pack(packer, value.fingerprint);
   Pack(packer, value.body);
   Pack(packer, value.sent_at_us);
+  Pack(packer, value.depth);
 }
 
 bool Unpack(const msgpack::object& object, CallRequest* value) {
@@ -422,6 +439,7 @@
   reader.Next(&value->fingerprint);
   reader.Next(&value->body);
   reader.Next(&value->sent_at_us);
+  reader.Next(&value->depth);
   return reader.ok();
 }
 
@@ -515,11 +533,15 @@
 }
 
 void Pack(Packer& packer, const CrashReport& value) {
-  packer.pack_array(4);
+  packer.pack_array(8);
   Pack(packer, value.service);
   Pack(packer, value.fingerprint);
   Pack(packer, value.crashes);
   Pack(packer, value.expiry_us);
+  Pack(packer, value.crash_id);
+  Pack(packer, value.runner);
+  Pack(packer, value.handover);
+  Pack(packer, value.ack_id);
 }
 
 bool Unpack(const msgpack::object& object, CrashReport* value) {
@@ -528,6 +550,21 @@
   reader.Next(&value->fingerprint);
   reader.Next(&value->crashes);
   reader.Next(&value->expiry_us);
+  reader.Next(&value->crash_id);
+  reader.Next(&value->runner);
+  reader.Next(&value->handover);
+  reader.Next(&value->ack_id);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const CrashAck& value) {
+  packer.pack_array(1);
+  Pack(packer, value.ack_id);
+}
+
+bool Unpack(const msgpack::object& object, CrashAck* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->ack_id);
   return reader.ok();
 }
 
@@ -668,6 +705,8 @@
       return DecodeAs<Leaving>(fields);
     case 8:
       return DecodeAs<CrashReport>(fields);
+    case 20:
+      return DecodeAs<CrashAck>(fields);
     case 9:
       return DecodeAs<ConfigAnnounce>(fields);
     case 10:
@@ -719,6 +758,10 @@
   return 8;
 }
 
+uint32_t KindOf(const CrashAck& /*message*/) {
+  return 20;
+}
+
 uint32_t KindOf(const ConfigAnnounce& /*message*/) {
   return 9;
 }
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -88,8 +88,14 @@
   kTooManyConnections = 18,
   /// The node has no accepted configuration yet.
   kNotReady = 19,
+  /// After a crash, the request runs on another upstream only.
+  kCrashSuspect = 20,
+  /// The node of the upstream was paused while the request waited.
+  kPaused = 21,
+  /// The request completed earlier; its answer is no longer stored.
+  kAnswerNotKept = 22,
 };
-inline constexpr uint8_t kReasonCount = 20;
+inline constexpr uint8_t kReasonCount = 23;
 /// Returns the name used in settings, headers and logs.
 absl::string_view ToString(Reason value);
 /// Parses a name; false if it is unknown.
@@ -174,6 +180,8 @@
   std::string body;
   /// Sender's monotonic clock when sent, in microseconds.
   int64_t sent_at_us = 0;
+  /// Calls above this one in the chain; 0 for a root request.
+  uint32_t depth = 0;
 };
 /// Compares all fields.
 bool operator==(const CallRequest& a, const CallRequest& b);
@@ -247,11 +255,27 @@
   uint32_t crashes = 0;
   /// Time until the report expires, in microseconds.
   int64_t expiry_us = 0;
+  /// Names the crash, so that a repeated report counts once.
+  uint64_t crash_id = 0;
+  /// Id of the only VM that may run the request after one crash.
+  std::string runner;
+  /// Grows when the runner changes; the highest is in force.
+  uint32_t handover = 0;
+  /// Wanted in the CrashAck; 0 if none is wanted.
+  uint64_t ack_id = 0;
 };
 /// Compares all fields.
 bool operator==(const CrashReport& a, const CrashReport& b);
 bool operator!=(const CrashReport& a, const CrashReport& b);
 
+/// The sender applied the reports up to this one.
+struct CrashAck {
+  uint64_t ack_id = 0;
+};
+/// Compares all fields.
+bool operator==(const CrashAck& a, const CrashAck& b);
+bool operator!=(const CrashAck& a, const CrashAck& b);
+
 /// The sender has this configuration version in force.
 struct ConfigAnnounce {
   uint64_t version = 0;
@@ -341,6 +365,7 @@
                              TicketGrant,
                              Leaving,
                              CrashReport,
+                             CrashAck,
                              ConfigAnnounce,
                              ConfigFetch,
                              ConfigDelta,
