--- a/src/boragepaddle/node/ingress.cc
+++ b/src/boragepaddle/node/ingress.cc
@@ -73,7 +73,7 @@
     return Admit(state, key, now, actions);
   }
   if (state.suspects.size() >= kMaxSuspects) {
-    return RefuseCall(state, key, Reason::kOverloaded, now, actions);
+    return RefuseCall(state, key, Reason::kCrashSuspect, now, actions);
   }
   state.suspects.push_back(key);
 }
--- a/src/boragepaddle/node/ingress_crash.cc
+++ b/src/boragepaddle/node/ingress_crash.cc
@@ -59,9 +59,13 @@
   actions.push_back(ProbeWorker{});
 }
 
-void Release(CrashEvent& event, IngressActions& actions) {
+void Release(const IngressState& state,
+             CrashEvent& event,
+             absl::Time now,
+             IngressActions& actions) {
   event.unconfirmed.clear();
   for (AnswerCall& answer : event.held) {
+    answer.answer.admission_level = IngressLevel(state, now);
     actions.push_back(std::move(answer));
   }
   event.held.clear();
@@ -163,7 +167,7 @@
   CrashEvent& event = found->second;
   event.unconfirmed.erase(std::string(vm_id));
   if (event.unconfirmed.empty()) {
-    Release(event, actions);
+    Release(state, event, now, actions);
   }
   DropEnded(state);
   return actions;
@@ -179,7 +183,7 @@
 void TickCrashes(IngressState& state, absl::Time now, IngressActions& actions) {
   for (auto& [crash, event] : state.crashes) {
     if (now >= event.release_at) {
-      Release(event, actions);
+      Release(state, event, now, actions);
     }
   }
   DropEnded(state);
--- /dev/null
+++ b/tests/unit/admission_test.cc
@@ -0,0 +1,131 @@
+#include "boragepaddle/admission/admission.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "absl/strings/str_cat.h"
+
+namespace boragepaddle::admission {
+namespace {
+
+using schema::CallClass;
+
+absl::Time At(int64_t milliseconds) {
+  return absl::UnixEpoch() + absl::Milliseconds(milliseconds);
+}
+
+AdmissionCall Call(uint64_t id,
+                   CallClass call_class,
+                   int64_t at,
+                   uint32_t depth = 0) {
+  AdmissionCall call;
+  call.id = id;
+  call.call_class = call_class;
+  call.depth = depth;
+  call.arrived = At(at);
+  call.deadline = At(at + 1000);
+  call.cancellable = true;
+  return call;
+}
+
+/// Text of the actions: +id started, -id shed, !id cancelled.
+std::string Text(const AdmissionActions& actions) {
+  std::string text;
+  for (const AdmissionAction& action : actions) {
+    if (const auto* start = std::get_if<StartCall>(&action)) {
+      absl::StrAppend(&text, "+", start->id, " ");
+    } else if (const auto* shed = std::get_if<ShedCall>(&action)) {
+      absl::StrAppend(&text, "-", shed->id, " ");
+    } else {
+      absl::StrAppend(&text, "!", std::get<CancelCall>(action).id, " ");
+    }
+  }
+  return text;
+}
+
+AdmissionState OneSlot(uint32_t max_queue = 2) {
+  AdmissionSettings settings;
+  settings.max_queue = max_queue;
+  return MakeAdmission(settings);
+}
+
+// Guards against a member's call that is shed while bulk work is queued.
+TEST_CASE("admission: an arrival displaces the least important queued call") {
+  AdmissionState state = OneSlot();
+  CHECK(Text(OnArrival(state, Call(1, CallClass::kBulk, 0), 1, At(0))) ==
+        "+1 ");
+  OnArrival(state, Call(2, CallClass::kBulk, 0), 1, At(0));
+  OnArrival(state, Call(3, CallClass::kInternal, 0), 1, At(0));
+  CHECK(Text(OnArrival(state, Call(4, CallClass::kMember, 0), 1, At(0))) ==
+        "-2 ");
+  CHECK(Text(OnFinished(state, 1, 1, At(1))) == "+4 ");
+}
+
+// Guards against senders that are told a class is admitted which was refused.
+TEST_CASE("admission: a refused class is outside the level") {
+  AdmissionState state = OneSlot(1);
+  CHECK(AdmissionLevel(state, 1, At(0)) == 4);
+  OnArrival(state, Call(1, CallClass::kInternal, 0), 1, At(0));
+  OnArrival(state, Call(2, CallClass::kInternal, 0), 1, At(0));
+  CHECK(AdmissionLevel(state, 1, At(0)) == 2);
+  CHECK(Text(OnArrival(state, Call(3, CallClass::kInternal, 0), 1, At(0))) ==
+        "-3 ");
+  // Room again, but less important work must not take it at once.
+  OnFinished(state, 1, 1, At(1));
+  OnFinished(state, 2, 1, At(2));
+  CHECK(AdmissionLevel(state, 1, At(3)) == 2);
+  CHECK(Text(OnArrival(state, Call(4, CallClass::kBulk, 3), 1, At(3))) ==
+        "-4 ");
+  CHECK(AdmissionLevel(state, 1, At(200)) == 4);
+}
+
+// Guards against the loss of a chain's work for the sake of a new request.
+TEST_CASE("admission: a nested call displaces a root request of its class") {
+  AdmissionState state = OneSlot();
+  OnArrival(state, Call(1, CallClass::kStandard, 0), 1, At(0));
+  OnArrival(state, Call(2, CallClass::kStandard, 0, 1), 1, At(0));
+  OnArrival(state, Call(3, CallClass::kStandard, 0), 1, At(0));
+  CHECK(Text(OnArrival(state, Call(4, CallClass::kStandard, 0, 2), 1, At(0))) ==
+        "-3 ");
+  CHECK(Text(OnArrival(state, Call(5, CallClass::kStandard, 0), 1, At(0))) ==
+        "-5 ");
+  CHECK(Text(OnFinished(state, 1, 1, At(1))) == "+4 ");
+}
+
+// Guards against a standing queue in which every call waits in vain.
+TEST_CASE("admission: the target sheds from a queue that stands") {
+  AdmissionState state = OneSlot(10);
+  OnArrival(state, Call(1, CallClass::kMember, 0), 1, At(0));
+  OnArrival(state, Call(2, CallClass::kMember, 0), 1, At(0));
+  OnArrival(state, Call(3, CallClass::kBulk, 0), 1, At(0));
+  CHECK(Text(OnTick(state, 1, At(90))).empty());
+  CHECK(Text(OnTick(state, 1, At(101))) == "-3 -2 ");
+}
+
+// Guards against work that cannot end in time.
+TEST_CASE("admission: less time left than the service takes is refused") {
+  AdmissionState state = OneSlot();
+  AdmissionCall call = Call(1, CallClass::kMember, 0);
+  call.min_service = absl::Milliseconds(1001);
+  CHECK(Text(OnArrival(state, call, 1, At(0))) == "-1 ");
+  CHECK(AdmissionLevel(state, 1, At(0)) == 4);
+}
+
+// Guards against the cancellation of equal or more important work.
+TEST_CASE("admission: only less important running work is cancelled") {
+  AdmissionSettings settings;
+  settings.max_queue = 1;
+  settings.worker_accepts_cancel = true;
+  AdmissionState state = MakeAdmission(settings);
+  OnArrival(state, Call(1, CallClass::kMember, 0), 2, At(0));
+  OnArrival(state, Call(2, CallClass::kBulk, 0), 2, At(0));
+  OnArrival(state, Call(3, CallClass::kMember, 0), 2, At(0));
+  CHECK(Text(OnArrival(state, Call(4, CallClass::kMember, 0), 2, At(0))) ==
+        "!2 ");
+  CHECK(Text(OnArrival(state, Call(5, CallClass::kMember, 0), 2, At(0))) ==
+        "-5 ");
+}
+
+}  // namespace
+}  // namespace boragepaddle::admission
--- /dev/null
+++ b/tests/unit/ingress_session.h
@@ -0,0 +1,19 @@
+#ifndef TESTS_UNIT_INGRESS_SESSION_H_
+#define TESTS_UNIT_INGRESS_SESSION_H_
+
+#include <string>
+
+#include "absl/strings/string_view.h"
+
+namespace boragepaddle::node {
+
+/// Replays a script of ingress events and returns it with the actions that
+/// they caused, each on a line of its own that starts with "> ". Such lines
+/// and empty ones in the script are skipped, so a correct script is its own
+/// result. A line is `<ms> <event> <arguments>`; the first one is
+/// `node key=value...`.
+std::string ReplayIngress(absl::string_view script);
+
+}  // namespace boragepaddle::node
+
+#endif  // TESTS_UNIT_INGRESS_SESSION_H_
