--- a/src/boragepaddle/routing/route_table.cc
+++ b/src/boragepaddle/routing/route_table.cc
@@ -3,83 +3,297 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "boragepaddle/routing/random_bits.h"
+#include "boragepaddle/routing/subset.h"
+
 namespace boragepaddle::routing {
 
 namespace {
 
-constexpr absl::Duration kAvoidAfterLoss = absl::Milliseconds(500);
+using schema::Outcome;
+using schema::Reason;
+
+constexpr size_t kMaxLeft = 4;
+// Longer than the lag of the VM list (30 s), which may name a VM again that
+// was removed from it for a moment.
+constexpr absl::Duration kKeepLeavingMark = absl::Seconds(60);
+constexpr absl::Duration kFirstBackOff = absl::Milliseconds(100);
+constexpr absl::Duration kLongestBackOff = absl::Seconds(2);
+constexpr uint32_t kMaxDoublings = 5;
+constexpr double kDelayShare = 0.2;
+constexpr double kSlowDecay = 1.0 / 32;
+constexpr double kTroublePerFailure = 0.25;
+constexpr uint32_t kFirstServerError = 500;
 
 Upstream* Find(RouteTable& table, absl::string_view vm_id) {
+  return const_cast<Upstream*>(FindUpstream(table, vm_id));
+}
+
+bool HasLeft(const Upstream& upstream, uint64_t incarnation) {
+  const auto& left = upstream.left;
+  return std::find(left.begin(), left.end(), incarnation) != left.end();
+}
+
+bool IsEligible(const RouteTable& table, const schema::VmEntry& vm) {
+  const Upstream* known = FindUpstream(table, vm.vm_id);
+  return vm.state == schema::VmState::kLive &&
+         (known == nullptr || !known->leaving);
+}
+
+bool IsWorthKeeping(const Upstream& upstream, absl::Time now) {
+  return upstream.in_flight > 0 ||
+         (!upstream.left.empty() &&
+          now - upstream.leaving_since < kKeepLeavingMark);
+}
+
+/// Resets what belongs to the process and not to the VM.
+void StartIncarnation(Upstream& upstream,
+                      uint64_t incarnation,
+                      absl::Time now) {
+  upstream.incarnation = incarnation;
+  upstream.leaving = false;
+  upstream.started = now;
+  upstream.delay = absl::ZeroDuration();
+  upstream.slow_delay = absl::ZeroDuration();
+  upstream.trouble = 0;
+  upstream.level_at = absl::InfinitePast();
+  upstream.failures = 0;
+  upstream.avoid_until = absl::InfinitePast();
+}
+
+void InstallVm(RouteTable& table, const ListedVm& listed) {
+  Upstream* known = Find(table, listed.vm.vm_id);
+  if (known == nullptr) {
+    table.upstreams.emplace_back();
+    known = &table.upstreams.back();
+    known->started = listed.first_seen;
+  }
+  known->vm = listed.vm;
+  known->chosen = true;
+}
+
+/// A process behind another address is not the one that left.
+void ResetReplaced(RouteTable& table, absl::Time now) {
+  for (const ListedVm& listed : table.listed) {
+    Upstream* known = Find(table, listed.vm.vm_id);
+    if (known != nullptr &&
+        known->vm.peer_address != listed.vm.peer_address) {
+      StartIncarnation(*known, 0, now);
+      known->vm = listed.vm;
+    }
+  }
+}
+
+void ForgetUnused(RouteTable& table, absl::Time now) {
+  auto& all = table.upstreams;
+  const auto unused = [now](const Upstream& upstream) {
+    return !upstream.chosen && !IsWorthKeeping(upstream, now);
+  };
+  all.erase(std::remove_if(all.begin(), all.end(), unused), all.end());
+}
+
+/// Chooses the subset again from the list and the leaving marks.
+void Rebuild(RouteTable& table, const Locality& locality, absl::Time now) {
+  ResetReplaced(table, now);
+  std::vector<const schema::VmEntry*> eligible;
+  for (const ListedVm& listed : table.listed) {
+    if (IsEligible(table, listed.vm)) {
+      eligible.push_back(&listed.vm);
+    }
+  }
   for (Upstream& upstream : table.upstreams) {
-    if (upstream.vm.vm_id == vm_id) {
-      return &upstream;
+    upstream.chosen = false;
+  }
+  const auto subset = ChooseSubset(eligible, locality);
+  const absl::flat_hash_set<const schema::VmEntry*> chosen(subset.begin(),
+                                                           subset.end());
+  for (const ListedVm& listed : table.listed) {
+    if (chosen.contains(&listed.vm)) {
+      InstallVm(table, listed);
     }
   }
-  return nullptr;
+  ForgetUnused(table, now);
 }
 
-bool IsCandidate(const Upstream& upstream,
-                 absl::Span<const std::string> exclude,
-                 absl::Time now) {
-  return upstream.vm.state == schema::VmState::kLive &&
-         upstream.avoid_until <= now &&
-         std::find(exclude.begin(), exclude.end(), upstream.vm.vm_id) ==
-             exclude.end();
+void Average(absl::Duration sample, absl::Duration& mean) {
+  mean = mean == absl::ZeroDuration() ? sample
+                                      : mean + kDelayShare * (sample - mean);
+}
+
+void AddDelay(RouteTable& table, Upstream& upstream, absl::Duration sample) {
+  Average(sample, upstream.delay);
+  Average(sample, table.typical_delay);
+  upstream.slow_delay =
+      std::max(sample, upstream.slow_delay +
+                           kSlowDecay * (sample - upstream.slow_delay));
+}
+
+void AddTrouble(Upstream& upstream, absl::Time now) {
+  upstream.trouble =
+      std::min(1.0, CurrentTrouble(upstream, now) + kTroublePerFailure);
+  upstream.trouble_at = now;
+}
+
+void AddLevel(Upstream& upstream,
+              schema::CallClass call_class,
+              const schema::CallAnswer& answer,
+              absl::Time now) {
+  upstream.level = answer.admission_level;
+  upstream.level_at = now;
+  upstream.reported_in_flight = answer.in_flight;
+  const bool refused = answer.outcome == Outcome::kNotRun &&
+                       (answer.reason == Reason::kOverloaded ||
+                        answer.reason == Reason::kDisplaced);
+  if (refused) {
+    // The refusal itself is better evidence than the level.
+    upstream.level =
+        std::min(upstream.level, static_cast<uint32_t>(call_class));
+  }
+}
+
+void Release(Upstream& upstream) {
+  if (upstream.in_flight > 0) {
+    --upstream.in_flight;
+  }
+}
+
+void BackOff(Upstream& upstream, absl::Time now, uint64_t random) {
+  if (now < upstream.avoid_until) {
+    return;
+  }
+  const uint32_t doublings = std::min(upstream.failures, kMaxDoublings);
+  const absl::Duration base =
+      std::min(kLongestBackOff, kFirstBackOff * (1 << doublings));
+  // Randomised so that the nodes of a service do not probe at once.
+  upstream.avoid_until = now + base * (0.5 + ToUnitInterval(random));
+  ++upstream.failures;
 }
 
 }  // namespace
 
-void SetUpstreams(RouteTable& table, absl::Span<const schema::VmEntry> vms) {
-  std::vector<Upstream> upstreams;
+void SetUpstreams(RouteTable& table,
+                  const Locality& locality,
+                  absl::Span<const schema::VmEntry> vms,
+                  absl::Time now) {
+  absl::flat_hash_map<std::string, absl::Time> first_seen;
+  for (const ListedVm& listed : table.listed) {
+    first_seen[listed.vm.vm_id] = listed.first_seen;
+  }
+  const absl::Time unknown = table.installed ? now : absl::InfinitePast();
+  table.listed.clear();
   for (const schema::VmEntry& vm : vms) {
-    Upstream upstream;
-    if (const Upstream* known = Find(table, vm.vm_id)) {
-      upstream = *known;
-    }
-    upstream.vm = vm;
-    upstreams.push_back(std::move(upstream));
+    const auto known = first_seen.find(vm.vm_id);
+    table.listed.push_back(
+        {vm, known == first_seen.end() ? unknown : known->second});
   }
-  table.upstreams = std::move(upstreams);
+  table.installed = true;
+  Rebuild(table, locality, now);
 }
 
-const Upstream* PickUpstream(const RouteTable& table,
-                             const Locality& locality,
-                             absl::Span<const std::string> exclude,
-                             absl::Time now,
-                             uint64_t random) {
-  std::vector<const Upstream*> candidates;
+const Upstream* FindUpstream(const RouteTable& table, absl::string_view vm_id) {
   for (const Upstream& upstream : table.upstreams) {
-    if (IsCandidate(upstream, exclude, now)) {
-      candidates.push_back(&upstream);
+    if (upstream.vm.vm_id == vm_id) {
+      return &upstream;
     }
   }
-  if (candidates.empty()) {
-    return nullptr;
+  return nullptr;
+}
+
+const schema::VmEntry* FindListed(const RouteTable& table,
+                                  absl::string_view vm_id) {
+  for (const ListedVm& listed : table.listed) {
+    if (listed.vm.vm_id == vm_id) {
+      return &listed.vm;
+    }
   }
-  const uint64_t low = random & 0xffffffff;
-  const uint64_t high = random >> 32;
-  const Upstream* first = candidates[low % candidates.size()];
-  const Upstream* second = candidates[high % candidates.size()];
-  if (first->in_flight != second->in_flight) {
-    return first->in_flight < second->in_flight ? first : second;
+  return nullptr;
+}
+
+void OnHello(RouteTable& table,
+             const Locality& locality,
+             const schema::Hello& hello,
+             absl::Time now) {
+  Upstream* upstream = Find(table, hello.vm_id);
+  if (upstream == nullptr) {
+    return;
+  }
+  if (hello.leaving || HasLeft(*upstream, hello.incarnation)) {
+    OnLeaving(table, locality, hello.vm_id, hello.incarnation, now);
+    return;
+  }
+  const uint64_t previous = upstream->incarnation;
+  if (previous != hello.incarnation) {
+    const absl::Time started = previous == 0 ? upstream->started : now;
+    StartIncarnation(*upstream, hello.incarnation, started);
+  }
+  upstream->failures = 0;
+  upstream->avoid_until = absl::InfinitePast();
+  if (previous != 0 && previous != hello.incarnation) {
+    Rebuild(table, locality, now);
   }
-  const bool local = first->vm.availability_zone == locality.availability_zone;
-  return local ? first : second;
 }
 
-void OnSent(RouteTable& table, absl::string_view vm_id) {
-  if (Upstream* upstream = Find(table, vm_id)) {
-    ++upstream->in_flight;
+void OnLeaving(RouteTable& table,
+               const Locality& locality,
+               absl::string_view vm_id,
+               uint64_t incarnation,
+               absl::Time now) {
+  Upstream* upstream = Find(table, vm_id);
+  if (upstream == nullptr) {
+    return;
+  }
+  if (!HasLeft(*upstream, incarnation)) {
+    upstream->left.push_back(incarnation);
+    if (upstream->left.size() > kMaxLeft) {
+      upstream->left.erase(upstream->left.begin());
+    }
   }
+  const bool current =
+      upstream->incarnation == 0 || upstream->incarnation == incarnation;
+  if (!current || upstream->leaving) {
+    return;
+  }
+  upstream->incarnation = incarnation;
+  upstream->leaving = true;
+  upstream->leaving_since = now;
+  Rebuild(table, locality, now);
+}
+
+void OnSent(RouteTable& table, absl::string_view vm_id, absl::Time now) {
+  Upstream* upstream = Find(table, vm_id);
+  if (upstream == nullptr) {
+    return;
+  }
+  if (upstream->in_flight == 0) {
+    upstream->last_progress = now;
+  }
+  ++upstream->in_flight;
 }
 
 void OnAnswer(RouteTable& table,
               absl::string_view vm_id,
-              const schema::CallAnswer& /*answer*/,
-              absl::Time /*now*/) {
+              schema::CallClass call_class,
+              const schema::CallAnswer& answer,
+              absl::Time sent_at,
+              absl::Time now) {
   Upstream* upstream = Find(table, vm_id);
-  if (upstream != nullptr && upstream->in_flight > 0) {
-    --upstream->in_flight;
+  if (upstream == nullptr) {
+    return;
+  }
+  Release(*upstream);
+  upstream->last_progress = now;
+  upstream->failures = 0;
+  upstream->avoid_until = absl::InfinitePast();
+  AddLevel(*upstream, call_class, answer, now);
+  const bool good = answer.outcome == Outcome::kCompleted &&
+                    answer.status < kFirstServerError;
+  // A refusal or an error is fast; its time must not attract calls.
+  if (good) {
+    AddDelay(table, *upstream, now - sent_at);
+  } else {
+    AddTrouble(*upstream, now);
   }
 }
 
@@ -88,10 +302,33 @@
   if (upstream == nullptr) {
     return;
   }
-  if (upstream->in_flight > 0) {
-    --upstream->in_flight;
+  // A silent upstream must not look idle once its attempts have timed out.
+  if (IsSilent(*upstream, now)) {
+    BackOff(*upstream, now, /*random=*/uint64_t{1} << 63);
+  }
+  Release(*upstream);
+  AddTrouble(*upstream, now);
+}
+
+void OnConnectionLost(RouteTable& table,
+                      absl::string_view vm_id,
+                      absl::Time now,
+                      uint64_t random) {
+  if (Upstream* upstream = Find(table, vm_id)) {
+    BackOff(*upstream, now, random);
+  }
+}
+
+std::vector<std::string> DueProbes(const RouteTable& table, absl::Time now) {
+  std::vector<std::string> addresses;
+  for (const Upstream& upstream : table.upstreams) {
+    const bool failing = upstream.chosen && upstream.failures > 0;
+    const bool due = upstream.avoid_until <= now;
+    if (due && (failing || upstream.leaving)) {
+      addresses.push_back(upstream.vm.peer_address);
+    }
   }
-  upstream->avoid_until = now + kAvoidAfterLoss;
+  return addresses;
 }
 
 }  // namespace boragepaddle::routing
--- /dev/null
+++ b/src/boragepaddle/routing/upstream.cc
@@ -0,0 +1,65 @@
+#include "boragepaddle/routing/upstream.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragepaddle::routing {
+
+namespace {
+
+// A level is believed longer for a less important class, so that important
+// classes find freed capacity first. The longest (bulk, 100 ms) bounds what a
+// stale level adds to the recovery time.
+constexpr absl::Duration kLevelValidityStep = absl::Milliseconds(25);
+constexpr absl::Duration kSlowStart = absl::Seconds(5);
+constexpr double kLeastWeight = 0.1;
+// Shorter silences occur with a scheduler that is busy for some time slices.
+constexpr absl::Duration kLeastSilence = absl::Milliseconds(100);
+constexpr int kSilenceFactor = 3;
+constexpr absl::Duration kTroubleHalfLife = absl::Milliseconds(250);
+
+bool LevelIsRecent(const Upstream& upstream,
+                   schema::CallClass call_class,
+                   absl::Time now) {
+  const int steps = static_cast<int>(call_class) + 1;
+  return now - upstream.level_at < steps * kLevelValidityStep;
+}
+
+}  // namespace
+
+bool RefusesClass(const Upstream& upstream,
+                  schema::CallClass call_class,
+                  absl::Time now) {
+  return upstream.level <= static_cast<uint32_t>(call_class) &&
+         LevelIsRecent(upstream, call_class, now);
+}
+
+bool AdmitsClass(const Upstream& upstream,
+                 schema::CallClass call_class,
+                 absl::Time now) {
+  return upstream.level > static_cast<uint32_t>(call_class) &&
+         LevelIsRecent(upstream, call_class, now);
+}
+
+bool IsSilent(const Upstream& upstream, absl::Time now) {
+  const absl::Duration limit =
+      std::max(kLeastSilence, kSilenceFactor * upstream.slow_delay);
+  return upstream.in_flight > 0 && now - upstream.last_progress > limit;
+}
+
+double SlowStartWeight(const Upstream& upstream, absl::Time now) {
+  const double share =
+      absl::FDivDuration(now - upstream.started, kSlowStart);
+  return std::min(1.0, std::max(kLeastWeight, share));
+}
+
+double CurrentTrouble(const Upstream& upstream, absl::Time now) {
+  if (upstream.trouble <= 0) {
+    return 0;
+  }
+  const absl::Duration age = now - upstream.trouble_at;
+  return upstream.trouble *
+         std::exp2(-absl::FDivDuration(age, kTroubleHalfLife));
+}
+
+}  // namespace boragepaddle::routing
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -181,7 +181,8 @@
          a.status == b.status && a.content_type == b.content_type &&
          a.body == b.body && a.tokens_left == b.tokens_left &&
          a.admission_level == b.admission_level && a.in_flight == b.in_flight &&
-         a.queue_delay_us == b.queue_delay_us;
+         a.queue_delay_us == b.queue_delay_us &&
+         a.refused_below == b.refused_below;
 }
 
 bool operator!=(const CallAnswer& a, const CallAnswer& b) {
@@ -426,7 +427,7 @@
 }
 
 void Pack(Packer& packer, const CallAnswer& value) {
-  packer.pack_array(11);
+  packer.pack_array(12);
   Pack(packer, value.attempt_id);
   Pack(packer, value.incarnation);
   Pack(packer, value.outcome);
@@ -438,6 +439,7 @@
   Pack(packer, value.admission_level);
   Pack(packer, value.in_flight);
   Pack(packer, value.queue_delay_us);
+  Pack(packer, value.refused_below);
 }
 
 bool Unpack(const msgpack::object& object, CallAnswer* value) {
@@ -453,6 +455,7 @@
   reader.Next(&value->admission_level);
   reader.Next(&value->in_flight);
   reader.Next(&value->queue_delay_us);
+  reader.Next(&value->refused_below);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -196,6 +196,8 @@
   uint32_t admission_level = 0;
   uint32_t in_flight = 0;
   int64_t queue_delay_us = 0;
+  /// A call that the request made was refused because of overload.
+  bool refused_below = false;
 };
 /// Compares all fields.
 bool operator==(const CallAnswer& a, const CallAnswer& b);
--- a/src/boragepaddle/schema/settings.cc
+++ b/src/boragepaddle/schema/settings.cc
@@ -50,7 +50,7 @@
          a.seed_peers == b.seed_peers && a.slots == b.slots &&
          a.max_connections == b.max_connections &&
          a.worker_accepts_cancel == b.worker_accepts_cancel &&
-         a.log_level == b.log_level;
+         a.policy == b.policy && a.log_level == b.log_level;
 }
 
 bool operator!=(const NodeSettings& a, const NodeSettings& b) {
@@ -127,6 +127,8 @@
                     &out->max_connections);
   reader.ReadBool("worker_accepts_cancel", Presence::kOptional,
                   &out->worker_accepts_cancel);
+  reader.ReadChoice("policy", Presence::kOptional,
+                    {"full", "off", "per_hop_retries"}, &out->policy);
   reader.ReadChoice("log_level", Presence::kOptional,
                     {"debug", "info", "warn", "error"}, &out->log_level);
   reader.RejectUnknownKeys();
--- a/src/boragepaddle/schema/settings.h
+++ b/src/boragepaddle/schema/settings.h
@@ -103,6 +103,9 @@
   uint32_t max_connections = 960;
   /// The worker accepts cancellation by POST /cancel/<attempt>.
   bool worker_accepts_cancel = false;
+  /// Overload policy; values other than full are for comparing measurements
+  /// only.
+  std::string policy = "full";
   /// Lowest level that is logged.
   std::string log_level = "info";
 };
