--- a/src/boragepaddle/daemon/attempt_table.h
+++ b/src/boragepaddle/daemon/attempt_table.h
@@ -11,7 +11,7 @@
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "boragepaddle/base/sharded.h"
-#include "boragepaddle/node/egress.h"
+#include "boragepaddle/node/egress_action.h"
 #include "boragepaddle/schema/messages.h"
 
 namespace boragepaddle::daemon {
--- a/src/boragepaddle/daemon/caller_service.cc
+++ b/src/boragepaddle/daemon/caller_service.cc
@@ -22,9 +22,13 @@
 
 constexpr uint32_t kStatusBadRequest = 400;
 constexpr uint32_t kStatusNotFound = 404;
+constexpr uint32_t kStatusTicketNeeded = 428;
 constexpr uint32_t kStatusNotRun = 503;
 constexpr uint32_t kStatusUnknown = 504;
 constexpr int64_t kMaxDeadlineMs = 600000;
+// Ids and tickets travel in every frame and log line.
+constexpr size_t kMaxRequestIdLength = 128;
+constexpr size_t kMaxTicketLength = 512;
 
 /// Deadline that the caller asks for; the rule's deadline if it names none.
 absl::optional<absl::Duration> RequestedDeadline(const HttpCall& http,
@@ -41,6 +45,27 @@
   return absl::Milliseconds(milliseconds);
 }
 
+bool HasValidIds(const HttpCall& http) {
+  return http.header("Boragepaddle-Request-Id").size() <= kMaxRequestIdLength &&
+         http.header("Boragepaddle-Ticket").size() <= kMaxTicketLength;
+}
+
+uint32_t StatusOf(const node::FinishCall& finish) {
+  switch (finish.outcome) {
+    case Outcome::kCompleted:
+      return finish.status;
+    case Outcome::kNotRun:
+      if (finish.reason == Reason::kTicketNeeded) {
+        return kStatusTicketNeeded;
+      }
+      return finish.reason == Reason::kTicketInvalid ? kStatusBadRequest
+                                                     : kStatusNotRun;
+    case Outcome::kUnknown:
+      return kStatusUnknown;
+  }
+  return kStatusUnknown;
+}
+
 }  // namespace
 
 CallerService::CallerService(RuleBook& rules,
@@ -54,25 +79,7 @@
   if (!target) {
     return NotRunReply(Reason::kUnknownService, kStatusNotFound);
   }
-  const auto deadline = RequestedDeadline(http, target->rule.deadline);
-  if (!deadline) {
-    return NotRunReply(Reason::kBadRequest, kStatusBadRequest);
-  }
-  node::EgressCall call;
-  call.request_id = http.header("Boragepaddle-Request-Id");
-  if (call.request_id.empty()) {
-    call.request_id = RandomId();
-  }
-  call.service = std::move(target->service);
-  call.operation = std::move(target->operation);
-  call.rule = target->rule;
-  call.call_class = target->rule.call_class;
-  call.tokens.left = target->rule.retry_tokens;
-  call.deadline = transport::MonotonicNow() + *deadline;
-  call.ticket = http.header("Boragepaddle-Ticket");
-  call.body = http.body;
-  const std::string request_id = call.request_id;
-  return ToReply(this->Run(std::move(call), http), request_id);
+  return this->RunRoot(http, std::move(*target), /*trusted=*/true);
 }
 
 HttpReply CallerService::FromWorker(const HttpCall& http) {
@@ -82,31 +89,52 @@
   }
   const std::string context_id = http.header("Boragepaddle-Context");
   const auto context = this->contexts.BeginChild(context_id);
+  if (!context) {
+    // A new root without retry tokens in the lowest class, so that a worker
+    // gains nothing by dropping or forging the header.
+    return this->RunRoot(http, std::move(*target), /*trusted=*/false);
+  }
   node::EgressCall call;
   call.service = std::move(target->service);
   call.operation = std::move(target->operation);
   call.rule = target->rule;
   call.body = http.body;
-  if (context) {
-    call.child = true;
-    call.request_id = context->request_id;
-    call.call_class = context->call_class;
-    call.tokens = context->tokens;
-    call.deadline = context->deadline;
-  } else {
-    // A new root without retry tokens in the lowest class, so that a worker
-    // gains nothing by dropping or forging the header.
-    call.request_id = RandomId();
-    call.call_class = schema::CallClass::kBulk;
-    call.deadline = transport::MonotonicNow() + target->rule.deadline;
-  }
+  call.child = true;
+  call.request_id = context->request_id;
+  call.call_class = context->call_class;
+  call.tokens = context->tokens;
+  call.deadline = context->deadline;
   const uint32_t delegated = call.tokens.left;
-  const std::string request_id = call.request_id;
   node::FinishCall finish = this->Run(std::move(call), http);
-  if (context) {
-    this->contexts.EndChild(context_id, delegated, finish.tokens_left);
+  this->contexts.EndChild(context_id, delegated, finish.tokens_left,
+                          finish.refused);
+  return ToReply(std::move(finish), context->request_id);
+}
+
+HttpReply CallerService::RunRoot(const HttpCall& http,
+                                 Target target,
+                                 bool trusted) {
+  const auto deadline = RequestedDeadline(http, target.rule.deadline);
+  if (!deadline || !HasValidIds(http)) {
+    return NotRunReply(Reason::kBadRequest, kStatusBadRequest);
+  }
+  node::EgressCall call;
+  call.request_id = http.header("Boragepaddle-Request-Id");
+  if (call.request_id.empty()) {
+    call.request_id = RandomId();
+  }
+  call.service = std::move(target.service);
+  call.operation = std::move(target.operation);
+  call.rule = target.rule;
+  call.call_class = trusted ? target.rule.call_class : schema::CallClass::kBulk;
+  call.tokens.left = trusted ? target.rule.retry_tokens : 0;
+  call.deadline = transport::MonotonicNow() + *deadline;
+  if (call.rule.at_most_once) {
+    call.ticket = http.header("Boragepaddle-Ticket");
   }
-  return ToReply(std::move(finish), request_id);
+  call.body = http.body;
+  const std::string request_id = call.request_id;
+  return ToReply(this->Run(std::move(call), http), request_id);
 }
 
 absl::optional<CallerService::Target> CallerService::Resolve(
@@ -146,18 +174,13 @@
       {"Boragepaddle-Reason", std::string(schema::ToString(finish.reason))},
       {"Boragepaddle-Request-Id", std::string(request_id)}};
   reply.content_type = "text/plain";
-  switch (finish.outcome) {
-    case Outcome::kCompleted:
-      reply.status = finish.status;
-      reply.content_type = std::move(finish.content_type);
-      reply.body = std::move(finish.body);
-      break;
-    case Outcome::kNotRun:
-      reply.status = kStatusNotRun;
-      break;
-    case Outcome::kUnknown:
-      reply.status = kStatusUnknown;
-      break;
+  reply.status = StatusOf(finish);
+  if (finish.outcome == Outcome::kCompleted) {
+    reply.content_type = std::move(finish.content_type);
+    reply.body = std::move(finish.body);
+  }
+  if (!finish.ticket.empty()) {
+    reply.headers.push_back({"Boragepaddle-Ticket", std::move(finish.ticket)});
   }
   return reply;
 }
--- a/src/boragepaddle/daemon/caller_service.h
+++ b/src/boragepaddle/daemon/caller_service.h
@@ -41,6 +41,9 @@
   };
 
   absl::optional<Target> Resolve(const transport::HttpCall& http);
+  transport::HttpReply RunRoot(const transport::HttpCall& http,
+                               Target target,
+                               bool trusted);
   node::FinishCall Run(node::EgressCall call, const transport::HttpCall& http);
 
   RuleBook& rules;
--- a/src/boragepaddle/daemon/egress_client.h
+++ b/src/boragepaddle/daemon/egress_client.h
@@ -2,24 +2,30 @@
 #define BORAGEPADDLE_DAEMON_EGRESS_CLIENT_H_
 
 #include <functional>
+#include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
+#include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
+#include "absl/synchronization/mutex.h"
 #include "absl/types/span.h"
 #include "boragepaddle/base/sharded.h"
 #include "boragepaddle/daemon/attempt_table.h"
+#include "boragepaddle/daemon/logger.h"
 #include "boragepaddle/daemon/peer_hub.h"
 #include "boragepaddle/node/egress.h"
-#include "boragepaddle/routing/route_table.h"
 
 namespace boragepaddle::daemon {
 
 /// Runs the egress decisions for calls of callers and of the local worker.
-class EgressClient {
+class EgressClient : private PeerObserver {
  public:
-  EgressClient(routing::Locality locality,
+  EgressClient(node::EgressSettings settings,
                PeerHub& hub,
                AttemptTable& attempts);
+  ~EgressClient() override;
 
   /// Makes the call and waits for its end.
   node::FinishCall Call(node::EgressCall call,
@@ -29,17 +35,46 @@
   void SetUpstreams(absl::Span<const schema::VmEntry> vms);
 
  private:
-  using RouteTables = absl::flat_hash_map<std::string, routing::RouteTable>;
+  using Services = absl::flat_hash_map<std::string, node::ServiceState>;
+  using CallerConnected = std::function<bool()>;
+  using VmsByService =
+      absl::flat_hash_map<std::string, std::vector<schema::VmEntry>>;
 
+  void OnPeerHello(const schema::Hello& hello, bool listed) override;
+  void OnPeerLeaving(const schema::Hello& hello) override;
+  void OnPeerLost(const schema::Hello& hello) override;
+
+  node::EgressAction Perform(node::EgressCall& call,
+                             node::EgressAction action,
+                             const CallerConnected& caller_connected);
   node::EgressAction Send(node::EgressCall& call,
                           node::SendAttempt send,
-                          const std::function<bool()>& caller_connected);
+                          const CallerConnected& caller_connected);
+  node::EgressAction Ask(node::EgressCall& call,
+                         node::AskTicket ask,
+                         const CallerConnected& caller_connected);
+  node::EgressAction Wait(node::EgressCall& call,
+                          const node::WaitUntil& wait,
+                          const CallerConnected& caller_connected);
   node::EgressAction Lost(node::EgressCall& call, node::AttemptLoss loss);
 
-  const routing::Locality locality;
+  /// Returns the state of the service, with its upstreams on first use.
+  node::ServiceState& StateOf(Services& all, const std::string& service);
+  std::vector<schema::VmEntry> ListedVms(const std::string& service);
+
+  void ProbeLoop();
+  void Probe();
+
+  const node::EgressSettings settings;
   PeerHub& hub;
   AttemptTable& attempts;
-  base::Sharded<RouteTables> routes;
+  const Logger log{"egress"};
+  base::Sharded<Services> services;
+  absl::Mutex mutex;
+  std::shared_ptr<const VmsByService> listed ABSL_GUARDED_BY(mutex) =
+      std::make_shared<VmsByService>();
+  bool stopping ABSL_GUARDED_BY(mutex) = false;
+  std::thread prober;
 };
 
 }  // namespace boragepaddle::daemon
--- a/src/boragepaddle/daemon/ingress_server.cc
+++ b/src/boragepaddle/daemon/ingress_server.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "boragepaddle/daemon/random_id.h"
 #include "boragepaddle/transport/clock.h"
 
@@ -24,6 +25,19 @@
   return result;
 }
 
+/// Tells the sender that a call below was refused, so that its entry can
+/// refuse such requests before work is done.
+void MarkRefusedBelow(node::CallKey key,
+                      bool refused_below,
+                      node::IngressActions& actions) {
+  for (node::IngressAction& action : actions) {
+    auto* answer = std::get_if<node::AnswerCall>(&action);
+    if (answer != nullptr && answer->key == key) {
+      answer->answer.refused_below = refused_below;
+    }
+  }
+}
+
 }  // namespace
 
 IngressServer::IngressServer(const schema::NodeSettings& settings,
@@ -73,6 +87,19 @@
   this->Perform(std::move(actions));
 }
 
+void IngressServer::OnTicketRequest(const PeerLinkPtr& link,
+                                    const schema::TicketRequest& request) {
+  // Stub until the execution module issues tickets: names this process and
+  // gives no protection against a repeated send.
+  schema::TicketGrant grant;
+  grant.attempt_id = request.attempt_id;
+  grant.outcome = schema::Outcome::kCompleted;
+  grant.ticket = absl::StrFormat(
+      "t1.%016x.%016x.%016x.%032x.%s", this->state.settings.incarnation,
+      request.attempt_id, uint64_t{0}, uint64_t{0}, this->settings.vm_id);
+  link->Send(grant);
+}
+
 void IngressServer::OnCancel(const PeerLinkPtr& link,
                              const schema::CancelCall& cancel) {
   node::IngressActions actions;
@@ -157,10 +184,12 @@
     context.tokens.left = call.request.retry_tokens;
     this->contexts.Open(context_id, std::move(context));
     node::WorkerAnswer answer = this->CallWorker(call, context_id, key);
+    const bool refused_below = this->contexts.IsRefusedBelow(context_id);
     const uint32_t tokens_left = this->contexts.Close(context_id);
     absl::MutexLock lock(&this->mutex);
     actions = node::OnWorkerEnd(this->state, key, std::move(answer),
                                 tokens_left, MonotonicNow());
+    MarkRefusedBelow(key, refused_below, actions);
   }
   this->Perform(std::move(actions));
 }
--- a/src/boragepaddle/daemon/ingress_server.h
+++ b/src/boragepaddle/daemon/ingress_server.h
@@ -32,6 +32,8 @@
 
   void OnLinkOpen(const PeerLinkPtr& link);
   void OnCallRequest(const PeerLinkPtr& link, schema::CallRequest request);
+  void OnTicketRequest(const PeerLinkPtr& link,
+                       const schema::TicketRequest& request);
   void OnCancel(const PeerLinkPtr& link, const schema::CancelCall& cancel);
   void OnLinkClosed(const PeerLinkPtr& link);
 
--- a/src/boragepaddle/daemon/message_router.cc
+++ b/src/boragepaddle/daemon/message_router.cc
@@ -21,6 +21,8 @@
   } else if (auto* answer = std::get_if<schema::CallAnswer>(&message)) {
     // A late answer finds no waiting attempt and is dropped.
     this->attempts.OnAnswer(link->id(), std::move(*answer));
+  } else if (auto* ticket = std::get_if<schema::TicketRequest>(&message)) {
+    this->ingress.OnTicketRequest(link, *ticket);
   } else if (auto* cancel = std::get_if<schema::CancelCall>(&message)) {
     this->ingress.OnCancel(link, *cancel);
   } else if (auto* grant = std::get_if<schema::TicketGrant>(&message)) {
--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -23,6 +23,14 @@
   return settings;
 }
 
+node::EgressSettings ToEgressSettings(const schema::NodeSettings& settings) {
+  node::EgressSettings result;
+  result.locality = {settings.availability_zone, settings.region,
+                     settings.vm_id};
+  result.policy = node::ParseEgressPolicy(settings.policy);
+  return result;
+}
+
 }  // namespace
 
 NodeDaemon::NodeDaemon(const schema::NodeSettings& settings)
@@ -37,9 +45,7 @@
               this->worker),
       router(this->ingress, this->attempts),
       hub([this] { return this->MakeHello(); }, this->router),
-      egress({settings.availability_zone, settings.region},
-             this->hub,
-             this->attempts),
+      egress(ToEgressSettings(settings), this->hub, this->attempts),
       callers(this->rules, this->contexts, this->egress, this->call_metrics),
       caller_listener(ListenerSettings(settings.max_connections),
                       [this](const transport::HttpCall& http) {
--- a/src/boragepaddle/daemon/peer_hub.cc
+++ b/src/boragepaddle/daemon/peer_hub.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
+
+#include "boragepaddle/transport/clock.h"
 
 namespace boragepaddle::daemon {
 
@@ -23,10 +26,11 @@
 }
 
 void PeerHub::Accept(transport::Socket socket) {
-  this->Start(std::move(socket));
+  this->Start(std::move(socket), /*opened_here=*/false);
 }
 
 PeerLinkPtr PeerHub::Connect(const std::string& address) {
+  const absl::Time asked = transport::MonotonicNow();
   std::shared_ptr<Slot> slot;
   {
     absl::MutexLock lock(&this->mutex);
@@ -41,11 +45,17 @@
   if (slot->link != nullptr && slot->link->open()) {
     return slot->link;
   }
+  // Calls that waited for a failed attempt to connect share its result;
+  // otherwise each of them would wait for a timeout of its own in turn.
+  if (slot->last_failure >= asked) {
+    return nullptr;
+  }
   auto socket = transport::Connect(address, kConnectTimeout);
   if (!socket) {
+    slot->last_failure = transport::MonotonicNow();
     return nullptr;
   }
-  slot->link = this->Start(std::move(socket.value()));
+  slot->link = this->Start(std::move(socket.value()), /*opened_here=*/true);
   return slot->link;
 }
 
@@ -67,12 +77,51 @@
   return links;
 }
 
-PeerLinkPtr PeerHub::Start(transport::Socket socket) {
+void PeerHub::OnOpen(const PeerLinkPtr& link) {
+  if (this->observer != nullptr) {
+    this->observer->OnPeerHello(link->peer(), this->IsOpenedHere(link->id()));
+  }
+  this->handler.OnOpen(link);
+}
+
+void PeerHub::OnMessage(const PeerLinkPtr& link, schema::Message message) {
+  const auto* leaving = std::get_if<schema::Leaving>(&message);
+  const schema::Hello& peer = link->peer();
+  // A node speaks only for itself.
+  if (leaving != nullptr && this->observer != nullptr &&
+      leaving->vm_id == peer.vm_id &&
+      leaving->incarnation == peer.incarnation) {
+    this->observer->OnPeerLeaving(peer);
+  }
+  this->handler.OnMessage(link, std::move(message));
+}
+
+void PeerHub::OnClosed(const PeerLinkPtr& link) {
+  bool opened = false;
+  {
+    absl::MutexLock lock(&this->mutex);
+    opened = this->opened_here.erase(link->id()) > 0;
+  }
+  if (opened && this->observer != nullptr) {
+    this->observer->OnPeerLost(link->peer());
+  }
+  this->handler.OnClosed(link);
+}
+
+bool PeerHub::IsOpenedHere(uint64_t link_id) {
+  absl::MutexLock lock(&this->mutex);
+  return this->opened_here.contains(link_id);
+}
+
+PeerLinkPtr PeerHub::Start(transport::Socket socket, bool opened_here) {
   auto link = std::make_shared<transport::PeerLink>(
       this->next_link++, std::move(socket), transport::PeerLink::Settings(),
-      this->handler);
+      static_cast<transport::PeerLinkHandler&>(*this));
   {
     absl::MutexLock lock(&this->mutex);
+    if (opened_here) {
+      this->opened_here.insert(link->id());
+    }
     const auto gone = [](const std::weak_ptr<transport::PeerLink>& weak) {
       return weak.expired();
     };
--- a/src/boragepaddle/daemon/peer_hub.h
+++ b/src/boragepaddle/daemon/peer_hub.h
@@ -9,8 +9,10 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 #include "boragepaddle/schema/messages.h"
 #include "boragepaddle/transport/peer_link.h"
 #include "boragepaddle/transport/socket.h"
@@ -19,8 +21,22 @@
 
 using PeerLinkPtr = std::shared_ptr<transport::PeerLink>;
 
+/// Hears of the nodes behind the connections. Calls come from the links'
+/// reader threads.
+class PeerObserver {
+ public:
+  virtual ~PeerObserver() = default;
+
+  /// A node said Hello. `listed` is true if we opened the connection, so that
+  /// the node is the one behind the address of the VM list.
+  virtual void OnPeerHello(const schema::Hello& hello, bool listed) = 0;
+  virtual void OnPeerLeaving(const schema::Hello& hello) = 0;
+  /// A connection that we opened was closed.
+  virtual void OnPeerLost(const schema::Hello& hello) = 0;
+};
+
 /// All connections to other nodes, in both directions.
-class PeerHub {
+class PeerHub : private transport::PeerLinkHandler {
  public:
   /// Returns our Hello as of now.
   using HelloSource = std::function<schema::Hello()>;
@@ -28,7 +44,10 @@
   PeerHub(HelloSource own_hello, transport::PeerLinkHandler& handler);
 
   /// Closes all connections.
-  ~PeerHub();
+  ~PeerHub() override;
+
+  /// Names the only observer; called before the first connection.
+  void Observe(PeerObserver* observer) { this->observer = observer; }
 
   /// Takes over a connection that another node opened.
   void Accept(transport::Socket socket);
@@ -48,14 +67,23 @@
   struct Slot {
     absl::Mutex mutex;
     PeerLinkPtr link ABSL_GUARDED_BY(mutex);
+    absl::Time last_failure ABSL_GUARDED_BY(mutex) = absl::InfinitePast();
   };
 
-  PeerLinkPtr Start(transport::Socket socket);
+  void OnOpen(const PeerLinkPtr& link) override;
+  void OnMessage(const PeerLinkPtr& link, schema::Message message) override;
+  void OnClosed(const PeerLinkPtr& link) override;
+
+  PeerLinkPtr Start(transport::Socket socket, bool opened_here);
+  bool IsOpenedHere(uint64_t link_id);
 
   const HelloSource own_hello;
   transport::PeerLinkHandler& handler;
+  PeerObserver* observer = nullptr;
   std::atomic<uint64_t> next_link{1};
   absl::Mutex mutex;
+  /// Links that this node opened and that have not been closed.
+  absl::flat_hash_set<uint64_t> opened_here ABSL_GUARDED_BY(mutex);
   absl::flat_hash_map<std::string, std::shared_ptr<Slot>> outgoing
       ABSL_GUARDED_BY(mutex);
   std::vector<std::weak_ptr<transport::PeerLink>> all ABSL_GUARDED_BY(mutex);
--- a/src/boragepaddle/daemon/request_contexts.cc
+++ b/src/boragepaddle/daemon/request_contexts.cc
@@ -9,6 +9,13 @@
       id, [&](Table& table) { table.emplace(id, std::move(context)); });
 }
 
+bool RequestContexts::IsRefusedBelow(const std::string& id) {
+  return this->tables.With(id, [&](Table& table) {
+    const auto found = table.find(id);
+    return found != table.end() && found->second.refused_below;
+  });
+}
+
 uint32_t RequestContexts::Close(const std::string& id) {
   return this->tables.With(id, [&](Table& table) {
     const auto found = table.find(id);
@@ -34,11 +41,13 @@
 
 void RequestContexts::EndChild(const std::string& id,
                                uint32_t delegated,
-                               uint32_t unspent) {
+                               uint32_t unspent,
+                               bool refused) {
   this->tables.With(id, [&](Table& table) {
     const auto found = table.find(id);
     if (found != table.end()) {
       retry::Return(found->second.tokens, delegated, unspent);
+      found->second.refused_below |= refused;
     }
   });
 }
--- a/src/boragepaddle/daemon/request_contexts.h
+++ b/src/boragepaddle/daemon/request_contexts.h
@@ -20,6 +20,8 @@
   schema::CallClass call_class = schema::CallClass::kBulk;
   absl::Time deadline;
   retry::TokenBudget tokens;
+  /// A child call was refused because of overload.
+  bool refused_below = false;
 };
 
 /// Contexts of the requests that the local worker runs, by context id.
@@ -27,14 +29,21 @@
  public:
   void Open(const std::string& id, RequestContext context);
 
+  /// True if a child call of the open context was refused because of overload.
+  bool IsRefusedBelow(const std::string& id);
+
   /// Ends a context and returns the unspent tokens.
   uint32_t Close(const std::string& id);
 
   /// Takes tokens for a child call. Empty if the context is not open.
   absl::optional<RequestContext> BeginChild(const std::string& id);
 
-  /// Gives back the unspent tokens of a child call.
-  void EndChild(const std::string& id, uint32_t delegated, uint32_t unspent);
+  /// Gives back the unspent tokens of a child call. `refused` tells that it
+  /// was refused because of overload, here or further down.
+  void EndChild(const std::string& id,
+                uint32_t delegated,
+                uint32_t unspent,
+                bool refused);
 
  private:
   using Table = absl::flat_hash_map<std::string, RequestContext>;
--- a/src/boragepaddle/node/egress.cc
+++ b/src/boragepaddle/node/egress.cc
@@ -1,9 +1,17 @@
 #include "boragepaddle/node/egress.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
-#include "boragepaddle/base/stable_hash.h"
+#include "boragepaddle/node/egress_baseline.h"
+#include "boragepaddle/node/egress_finish.h"
+#include "boragepaddle/node/egress_request.h"
+#include "boragepaddle/node/egress_ticket.h"
+#include "boragepaddle/retry/back_off.h"
+#include "boragepaddle/routing/pick.h"
+#include "boragepaddle/routing/random_bits.h"
+#include "boragepaddle/routing/subset.h"
 
 namespace boragepaddle::node {
 
@@ -12,122 +20,273 @@
 using schema::Outcome;
 using schema::Reason;
 
-FinishCall Finish(const EgressCall& call, Outcome outcome, Reason reason) {
-  FinishCall finish;
-  const bool possibly_run = outcome == Outcome::kNotRun && call.maybe_run;
-  finish.outcome = possibly_run ? Outcome::kUnknown : outcome;
-  finish.reason = reason;
-  finish.tokens_left = call.tokens.left;
+// Attempts before only upstreams that are known to admit the class are tried.
+// Refusals of unimportant calls must not multiply the load by the size of the
+// subset.
+constexpr std::array<size_t, schema::kCallClassCount> kBlindTries = {
+    routing::kMaxSubset, 4, 3, 2};
+
+bool PassesGates(EgressCall& call,
+                 ServiceState& service,
+                 absl::Time now,
+                 uint64_t random) {
+  return LetPass(service.gate, call.call_class, now,
+                 routing::DeriveBits(random, 1)) &&
+         LetPass(service.operations[call.operation].below, call.call_class, now,
+                 routing::DeriveBits(random, 2));
+}
+
+EgressAction End(const EgressCall& call,
+                 ServiceState& service,
+                 const FinishCall& finish,
+                 absl::Time now) {
+  RecordEnd(service, call, finish, now);
   return finish;
 }
 
-schema::CallRequest MakeRequest(EgressCall& call, absl::Time now) {
-  schema::CallRequest request;
-  request.request_id = call.request_id;
-  request.service = call.service;
-  request.operation = call.operation;
-  request.call_class = call.call_class;
-  request.deadline_us = absl::ToInt64Microseconds(call.deadline - now);
-  request.retry_tokens = call.delegated;
-  request.ticket = call.ticket;
-  request.at_most_once = call.rule.at_most_once;
-  request.fingerprint =
-      base::StableHash({call.service, call.operation, call.body});
-  request.body = call.body;
-  return request;
+routing::Pick Choose(const EgressCall& call,
+                     const ServiceState& service,
+                     const EgressSettings& settings,
+                     absl::Time now,
+                     uint64_t random) {
+  routing::PickQuery query;
+  query.call_class = call.call_class;
+  query.exclude = call.tried;
+  query.only_admitting =
+      call.tried.size() >= kBlindTries[static_cast<size_t>(call.call_class)];
+  query.now = now;
+  query.random = random;
+  return routing::PickUpstream(service.routes, settings.locality, query);
 }
 
+/// Sends the next attempt, or ends the call with `reason` if none is possible.
 EgressAction Attempt(EgressCall& call,
-                     routing::RouteTable& routes,
-                     const routing::Locality& locality,
-                     Reason reason_if_none,
+                     ServiceState& service,
+                     const EgressSettings& settings,
+                     Reason reason,
                      absl::Time now,
                      uint64_t random) {
-  if (now >= call.deadline) {
-    return Finish(call, Outcome::kNotRun, Reason::kDeadline);
-  }
-  const routing::Upstream* upstream =
-      routing::PickUpstream(routes, locality, call.tried, now, random);
-  if (upstream == nullptr) {
-    return Finish(call, Outcome::kNotRun, reason_if_none);
-  }
-  SendAttempt send;
-  send.upstream = upstream->vm;
-  call.current_vm = upstream->vm.vm_id;
-  call.tried.push_back(call.current_vm);
-  call.delegated = retry::Delegate(call.tokens);
-  send.request = MakeRequest(call, now);
-  send.give_up_at = call.deadline;
-  routing::OnSent(routes, call.current_vm);
-  return send;
+  FastestTime& fastest = service.operations[call.operation].fastest;
+  if (call.deadline - now <= RecentFastest(fastest, now)) {
+    return End(call, service,
+               FinishWithout(call, Outcome::kNotRun, Reason::kDeadline), now);
+  }
+  const routing::Pick pick = Choose(call, service, settings, now, random);
+  const bool exhausted =
+      call.tried.size() >= routing::kMaxSubset + call.retries;
+  if (pick.upstream != nullptr && !exhausted) {
+    const schema::VmEntry vm = pick.upstream->vm;
+    return SendTo(call, service, vm, now);
+  }
+  const Reason end =
+      pick.refused && !call.maybe_run ? Reason::kOverloaded : reason;
+  return End(call, service, FinishWithout(call, Outcome::kNotRun, end), now);
+}
+
+/// After an attempt that ended unknown: waits for a retry or ends the call.
+EgressAction RetryUnknown(EgressCall& call,
+                          ServiceState& service,
+                          Reason reason,
+                          absl::Time now,
+                          uint64_t random) {
+  call.maybe_run = true;
+  const absl::Time when =
+      now + retry::BackOff(call.retries, routing::DeriveBits(random, 3));
+  const bool may_repeat = call.rule.retry_on_unknown && !call.rule.at_most_once;
+  if (!may_repeat || when >= call.deadline || call.tokens.left == 0 ||
+      !retry::TakeRetry(service.ratio, call.rule.retry_ratio_percent, now)) {
+    return End(call, service, FinishWithout(call, Outcome::kUnknown, reason),
+               now);
+  }
+  retry::Spend(call.tokens);
+  ++call.retries;
+  return WaitUntil{when};
+}
+
+/// True if another upstream may accept what this one refused.
+bool MayTryElsewhere(Reason reason) {
+  switch (reason) {
+    case Reason::kOverloaded:
+    case Reason::kDisplaced:
+    case Reason::kLeaving:
+    case Reason::kNotReady:
+    case Reason::kUnknownService:
+    case Reason::kWorkerLost:
+    case Reason::kTableFull:
+    case Reason::kTooManyConnections:
+      return true;
+    default:
+      return false;
+  }
+}
+
+void RecordAnswer(EgressCall& call,
+                  ServiceState& service,
+                  const EgressSettings& settings,
+                  const schema::CallAnswer& answer,
+                  absl::Time now) {
+  routing::OnAnswer(service.routes, call.current_vm, call.call_class, answer,
+                    call.sent_at, now);
+  if (answer.reason == Reason::kLeaving) {
+    routing::OnLeaving(service.routes, settings.locality, call.current_vm,
+                       answer.incarnation, now);
+  }
+  retry::Return(call.tokens, call.delegated, answer.tokens_left);
+  call.delegated = 0;
+  if (answer.outcome == Outcome::kCompleted) {
+    AddSample(service.operations[call.operation].fastest, now - call.sent_at,
+              now);
+  }
+}
+
+Reason ReasonOf(AttemptLoss loss) {
+  switch (loss) {
+    case AttemptLoss::kNotSent:
+      return Reason::kNoUpstream;
+    case AttemptLoss::kConnectionLost:
+      return Reason::kConnectionLost;
+    case AttemptLoss::kTimeout:
+      return Reason::kTimeout;
+    case AttemptLoss::kCallerGone:
+      return Reason::kSenderGone;
+  }
+  return Reason::kNone;
+}
+
+void RecordLoss(EgressCall& call,
+                ServiceState& service,
+                AttemptLoss loss,
+                absl::Time now,
+                uint64_t random) {
+  if (loss == AttemptLoss::kNotSent || loss == AttemptLoss::kConnectionLost) {
+    routing::OnConnectionLost(service.routes, call.current_vm, now,
+                              routing::DeriveBits(random, 4));
+  }
+  if (NeedsTicket(call)) {
+    return;
+  }
+  routing::OnAttemptLost(service.routes, call.current_vm, now);
+  if (loss == AttemptLoss::kNotSent) {
+    retry::Return(call.tokens, call.delegated, call.delegated);
+  }
+  // Tokens that went with a lost attempt count as spent.
+  call.delegated = 0;
 }
 
 }  // namespace
 
 EgressAction BeginCall(EgressCall& call,
-                       routing::RouteTable& routes,
-                       const routing::Locality& locality,
+                       ServiceState& service,
+                       const EgressSettings& settings,
                        absl::Time now,
                        uint64_t random) {
-  return Attempt(call, routes, locality, Reason::kNoUpstream, now, random);
+  if (call.rule.at_most_once && !call.child && !call.ticket.empty()) {
+    return BeginTicketed(call, service, now);
+  }
+  const bool full = settings.policy == EgressPolicy::kFull;
+  if (full && !PassesGates(call, service, now, random)) {
+    return FinishWithout(call, Outcome::kNotRun, Reason::kOverloaded);
+  }
+  if (NeedsTicket(call)) {
+    return AskForTicket(call, service, settings, Reason::kNoUpstream, now,
+                        random);
+  }
+  retry::AddFirstAttempt(service.ratio, now);
+  if (!full) {
+    return BeginBaseline(call, service, now);
+  }
+  return Attempt(call, service, settings, Reason::kNoUpstream, now, random);
 }
 
 EgressAction OnAttemptAnswer(EgressCall& call,
-                             routing::RouteTable& routes,
-                             const routing::Locality& locality,
+                             ServiceState& service,
+                             const EgressSettings& settings,
                              schema::CallAnswer answer,
                              absl::Time now,
                              uint64_t random) {
-  routing::OnAnswer(routes, call.current_vm, answer, now);
-  retry::Return(call.tokens, call.delegated, answer.tokens_left);
-  call.delegated = 0;
-  if (answer.outcome == Outcome::kCompleted) {
-    FinishCall finish = Finish(call, answer.outcome, answer.reason);
-    finish.status = answer.status;
-    finish.content_type = std::move(answer.content_type);
-    finish.body = std::move(answer.body);
-    return finish;
+  RecordAnswer(call, service, settings, answer, now);
+  const Reason reason = answer.reason;
+  if (!call.ticket.empty()) {
+    return End(call, service, EndTicketed(call, std::move(answer)), now);
   }
-  if (answer.outcome == Outcome::kUnknown) {
-    call.maybe_run = true;
-    if (!call.rule.retry_on_unknown || !retry::Spend(call.tokens)) {
-      return Finish(call, Outcome::kUnknown, answer.reason);
-    }
+  const Outcome outcome = answer.outcome;
+  FinishCall finish = outcome == Outcome::kCompleted
+                          ? FinishWith(call, std::move(answer))
+                          : FinishWithout(call, outcome, reason);
+  if (settings.policy != EgressPolicy::kFull) {
+    call.maybe_run = call.maybe_run || outcome != Outcome::kNotRun;
+    return ContinueBaseline(call, service, settings.policy, std::move(finish),
+                            now);
+  }
+  if (outcome == Outcome::kUnknown) {
+    return RetryUnknown(call, service, reason, now, random);
   }
-  return Attempt(call, routes, locality, answer.reason, now, random);
+  if (outcome == Outcome::kNotRun && MayTryElsewhere(reason)) {
+    return Attempt(call, service, settings, reason, now, random);
+  }
+  return End(call, service, finish, now);
 }
 
 EgressAction OnAttemptLoss(EgressCall& call,
-                           routing::RouteTable& routes,
-                           const routing::Locality& locality,
+                           ServiceState& service,
+                           const EgressSettings& settings,
                            AttemptLoss loss,
                            absl::Time now,
                            uint64_t random) {
-  routing::OnAttemptLost(routes, call.current_vm, now);
-  if (loss == AttemptLoss::kNotSent) {
-    retry::Return(call.tokens, call.delegated, call.delegated);
-    call.delegated = 0;
-    return Attempt(call, routes, locality, Reason::kNoUpstream, now, random);
+  RecordLoss(call, service, loss, now, random);
+  const Reason reason = ReasonOf(loss);
+  if (NeedsTicket(call)) {
+    // Issuing a ticket runs nothing.
+    if (loss == AttemptLoss::kCallerGone) {
+      return FinishWithout(call, Outcome::kNotRun, reason);
+    }
+    return AskForTicket(call, service, settings, reason, now, random);
   }
-  // Tokens that went with the lost attempt count as spent.
-  call.delegated = 0;
-  call.maybe_run = true;
-  const Reason reason = loss == AttemptLoss::kTimeout ? Reason::kTimeout
-                                                      : Reason::kConnectionLost;
-  const bool may_retry =
-      call.rule.retry_on_unknown && loss != AttemptLoss::kCallerGone;
-  if (!may_retry || !retry::Spend(call.tokens)) {
-    return Finish(call, Outcome::kUnknown, reason);
-  }
-  return Attempt(call, routes, locality, reason, now, random);
+  const bool sent = loss != AttemptLoss::kNotSent;
+  call.maybe_run = call.maybe_run || sent;
+  const Outcome outcome = sent ? Outcome::kUnknown : Outcome::kNotRun;
+  if (!call.ticket.empty() || loss == AttemptLoss::kCallerGone) {
+    return End(call, service, FinishWithout(call, outcome, reason), now);
+  }
+  if (settings.policy != EgressPolicy::kFull) {
+    return ContinueBaseline(call, service, settings.policy,
+                            FinishWithout(call, outcome, reason), now);
+  }
+  if (sent) {
+    return RetryUnknown(call, service, reason, now, random);
+  }
+  return Attempt(call, service, settings, reason, now, random);
+}
+
+EgressAction OnTicketGrant(EgressCall& call,
+                           ServiceState& service,
+                           const EgressSettings& settings,
+                           schema::TicketGrant grant,
+                           absl::Time now,
+                           uint64_t random) {
+  if (!grant.ticket.empty()) {
+    FinishCall finish =
+        FinishWithout(call, Outcome::kNotRun, Reason::kTicketNeeded);
+    finish.ticket = std::move(grant.ticket);
+    return finish;
+  }
+  if (MayTryElsewhere(grant.reason)) {
+    return AskForTicket(call, service, settings, grant.reason, now, random);
+  }
+  return End(call, service, FinishWithout(call, Outcome::kNotRun, grant.reason),
+             now);
 }
 
 EgressAction OnWaitOver(EgressCall& call,
-                        routing::RouteTable& routes,
-                        const routing::Locality& locality,
+                        ServiceState& service,
+                        const EgressSettings& settings,
                         absl::Time now,
                         uint64_t random) {
-  return Attempt(call, routes, locality, Reason::kOverloaded, now, random);
+  if (Choose(call, service, settings, now, random).upstream == nullptr) {
+    // All upstreams have been tried; the best of them may be tried again.
+    call.tried.clear();
+  }
+  return Attempt(call, service, settings, Reason::kNoUpstream, now, random);
 }
 
 }  // namespace boragepaddle::node
--- /dev/null
+++ b/src/boragepaddle/node/egress_finish.cc
@@ -0,0 +1,62 @@
+#include "boragepaddle/node/egress_finish.h"
+
+#include <utility>
+
+namespace boragepaddle::node {
+
+namespace {
+
+using schema::Outcome;
+using schema::Reason;
+
+constexpr uint32_t kFirstServerError = 500;
+
+}  // namespace
+
+bool IsOverload(Reason reason) {
+  return reason == Reason::kOverloaded || reason == Reason::kDisplaced;
+}
+
+FinishCall FinishWithout(const EgressCall& call,
+                         Outcome outcome,
+                         Reason reason) {
+  FinishCall finish;
+  const bool possibly_run = outcome == Outcome::kNotRun && call.maybe_run;
+  finish.outcome = possibly_run ? Outcome::kUnknown : outcome;
+  finish.reason = reason;
+  finish.tokens_left = call.tokens.left;
+  finish.refused = IsOverload(reason);
+  return finish;
+}
+
+FinishCall FinishWith(const EgressCall& call, schema::CallAnswer answer) {
+  FinishCall finish;
+  finish.outcome = answer.outcome;
+  finish.reason = answer.reason;
+  finish.status = answer.status;
+  finish.content_type = std::move(answer.content_type);
+  finish.body = std::move(answer.body);
+  finish.tokens_left = call.tokens.left;
+  // A worker that answers well in spite of a refused call needs no refusal.
+  finish.refused = answer.refused_below && answer.status >= kFirstServerError;
+  return finish;
+}
+
+void RecordEnd(ServiceState& service,
+               const EgressCall& call,
+               const FinishCall& finish,
+               absl::Time now) {
+  routing::ClassGate& below = service.operations[call.operation].below;
+  if (finish.outcome == Outcome::kCompleted) {
+    OnAccepted(service.gate, call.call_class, now);
+    if (finish.refused) {
+      OnRefused(below, call.call_class, now);
+    } else {
+      OnAccepted(below, call.call_class, now);
+    }
+  } else if (finish.refused) {
+    OnRefused(service.gate, call.call_class, now);
+  }
+}
+
+}  // namespace boragepaddle::node
--- /dev/null
+++ b/src/boragepaddle/node/egress_request.cc
@@ -0,0 +1,57 @@
+#include "boragepaddle/node/egress_request.h"
+
+#include <algorithm>
+
+#include "boragepaddle/base/stable_hash.h"
+#include "boragepaddle/retry/token_budget.h"
+
+namespace boragepaddle::node {
+
+namespace {
+
+// Expired work leaves the upstream's queue within one tick (10 ms), and the
+// answer takes a few milliseconds between zones. Short deadlines lose at most
+// a tenth.
+constexpr absl::Duration kMostMargin = absl::Milliseconds(25);
+constexpr int kMarginShare = 10;
+
+schema::CallRequest MakeRequest(const EgressCall& call, absl::Time now) {
+  const absl::Duration left = call.deadline - now;
+  schema::CallRequest request;
+  request.request_id = call.request_id;
+  request.service = call.service;
+  request.operation = call.operation;
+  request.call_class = call.call_class;
+  request.deadline_us = absl::ToInt64Microseconds(left - AnswerMargin(left));
+  request.retry_tokens = call.delegated;
+  request.ticket = call.ticket;
+  request.at_most_once = call.rule.at_most_once;
+  request.fingerprint =
+      base::StableHash({call.service, call.operation, call.body});
+  request.body = call.body;
+  return request;
+}
+
+}  // namespace
+
+absl::Duration AnswerMargin(absl::Duration left) {
+  return std::min(kMostMargin, left / kMarginShare);
+}
+
+SendAttempt SendTo(EgressCall& call,
+                   ServiceState& service,
+                   const schema::VmEntry& vm,
+                   absl::Time now) {
+  call.current_vm = vm.vm_id;
+  call.tried.push_back(vm.vm_id);
+  call.sent_at = now;
+  call.delegated = retry::Delegate(call.tokens);
+  SendAttempt send;
+  send.upstream = vm;
+  send.request = MakeRequest(call, now);
+  send.give_up_at = call.deadline;
+  routing::OnSent(service.routes, call.current_vm, now);
+  return send;
+}
+
+}  // namespace boragepaddle::node
--- /dev/null
+++ b/src/boragepaddle/node/service_state.h
@@ -0,0 +1,35 @@
+#ifndef BORAGEPADDLE_NODE_SERVICE_STATE_H_
+#define BORAGEPADDLE_NODE_SERVICE_STATE_H_
+
+#include <cstdint>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "boragepaddle/node/fastest_time.h"
+#include "boragepaddle/retry/retry_ratio.h"
+#include "boragepaddle/routing/class_gate.h"
+#include "boragepaddle/routing/route_table.h"
+
+namespace boragepaddle::node {
+
+/// What egress knows of one operation of a service.
+struct OperationState {
+  /// Refusals by services below the operation.
+  routing::ClassGate below;
+  FastestTime fastest;
+};
+
+/// What egress knows of one service.
+struct ServiceState {
+  routing::RouteTable routes;
+  /// Refusals by the service itself.
+  routing::ClassGate gate;
+  retry::RetryRatio ratio;
+  absl::flat_hash_map<std::string, OperationState> operations;
+  /// Next turn of the round robin of the comparison policies.
+  uint64_t turn = 0;
+};
+
+}  // namespace boragepaddle::node
+
+#endif  // BORAGEPADDLE_NODE_SERVICE_STATE_H_
--- a/src/boragepaddle/routing/route_table.cc
+++ b/src/boragepaddle/routing/route_table.cc
@@ -78,8 +78,7 @@
 void ResetReplaced(RouteTable& table, absl::Time now) {
   for (const ListedVm& listed : table.listed) {
     Upstream* known = Find(table, listed.vm.vm_id);
-    if (known != nullptr &&
-        known->vm.peer_address != listed.vm.peer_address) {
+    if (known != nullptr && known->vm.peer_address != listed.vm.peer_address) {
       StartIncarnation(*known, 0, now);
       known->vm = listed.vm;
     }
@@ -159,10 +158,14 @@
   }
 }
 
-void BackOff(Upstream& upstream, absl::Time now, uint64_t random) {
+void BackOff(RouteTable& table,
+             Upstream& upstream,
+             absl::Time now,
+             uint64_t random) {
   if (now < upstream.avoid_until) {
     return;
   }
+  table.has_probes = true;
   const uint32_t doublings = std::min(upstream.failures, kMaxDoublings);
   const absl::Duration base =
       std::min(kLongestBackOff, kFirstBackOff * (1 << doublings));
@@ -188,7 +191,7 @@
     table.listed.push_back(
         {vm, known == first_seen.end() ? unknown : known->second});
   }
-  table.installed = true;
+  table.installed = table.installed || !vms.empty();
   Rebuild(table, locality, now);
 }
 
@@ -258,6 +261,7 @@
   upstream->incarnation = incarnation;
   upstream->leaving = true;
   upstream->leaving_since = now;
+  table.has_probes = true;
   Rebuild(table, locality, now);
 }
 
@@ -304,7 +308,7 @@
   }
   // A silent upstream must not look idle once its attempts have timed out.
   if (IsSilent(*upstream, now)) {
-    BackOff(*upstream, now, /*random=*/uint64_t{1} << 63);
+    BackOff(table, *upstream, now, /*random=*/uint64_t{1} << 63);
   }
   Release(*upstream);
   AddTrouble(*upstream, now);
@@ -315,20 +319,27 @@
                       absl::Time now,
                       uint64_t random) {
   if (Upstream* upstream = Find(table, vm_id)) {
-    BackOff(*upstream, now, random);
+    BackOff(table, *upstream, now, random);
   }
 }
 
-std::vector<std::string> DueProbes(const RouteTable& table, absl::Time now) {
-  std::vector<std::string> addresses;
+std::vector<ProbeTarget> DueProbes(RouteTable& table, absl::Time now) {
+  std::vector<ProbeTarget> targets;
+  if (!table.has_probes) {
+    return targets;
+  }
+  table.has_probes = false;
   for (const Upstream& upstream : table.upstreams) {
     const bool failing = upstream.chosen && upstream.failures > 0;
-    const bool due = upstream.avoid_until <= now;
-    if (due && (failing || upstream.leaving)) {
-      addresses.push_back(upstream.vm.peer_address);
+    if (!failing && !upstream.leaving) {
+      continue;
+    }
+    table.has_probes = true;
+    if (upstream.avoid_until <= now) {
+      targets.push_back({upstream.vm.vm_id, upstream.vm.peer_address});
     }
   }
-  return addresses;
+  return targets;
 }
 
 }  // namespace boragepaddle::routing
--- a/src/boragepaddle/routing/route_table.h
+++ b/src/boragepaddle/routing/route_table.h
@@ -24,7 +24,7 @@
 
 /// Upstreams of one service.
 struct RouteTable {
-  /// A list has been installed.
+  /// A list that names VMs of the service has been installed.
   bool installed = false;
   /// VMs of the service in the VM list.
   std::vector<ListedVm> listed;
@@ -32,6 +32,8 @@
   std::vector<Upstream> upstreams;
   /// Mean time of completed attempts at all upstreams.
   absl::Duration typical_delay = absl::Milliseconds(1);
+  /// Some upstream may be failing or leaving; saves visits by DueProbes.
+  bool has_probes = false;
 };
 
 /// Installs the VMs of the service. What is known of those that stay is kept,
@@ -83,9 +85,14 @@
                       absl::Time now,
                       uint64_t random);
 
-/// Addresses to connect to in the background: upstreams whose back-off is
-/// over, or that left and may have been replaced.
-std::vector<std::string> DueProbes(const RouteTable& table, absl::Time now);
+/// An upstream to connect to in the background.
+struct ProbeTarget {
+  std::string vm_id;
+  std::string peer_address;
+};
+
+/// Upstreams whose back-off is over, or that left and may have been replaced.
+std::vector<ProbeTarget> DueProbes(RouteTable& table, absl::Time now);
 
 }  // namespace boragepaddle::routing
 
