--- a/src/boragepaddle/node/service_state.h
+++ b/src/boragepaddle/node/service_state.h
@@ -12,10 +12,15 @@
 
 namespace boragepaddle::node {
 
+/// Calls that pass for each accepted one while a service below refuses them.
+/// What passes in excess does work in vain in the services above the refusing
+/// one, so it is less than for a refusal by the called service itself.
+inline constexpr double kHeadroomBelow = 1.1;
+
 /// What egress knows of one operation of a service.
 struct OperationState {
   /// Refusals by services below the operation.
-  routing::ClassGate below;
+  routing::ClassGate below{kHeadroomBelow, {}};
   FastestTime fastest;
 };
 
--- a/src/boragepaddle/routing/class_gate.cc
+++ b/src/boragepaddle/routing/class_gate.cc
@@ -11,9 +11,6 @@
 namespace {
 
 constexpr absl::Duration kHalfLife = absl::Milliseconds(100);
-// Calls that pass in excess of the accepted ones find freed capacity. At most
-// this share of the passed calls does work in vain; the target is 5%.
-constexpr double kHeadroom = 1.05;
 // Without refusals for kHold, the headroom doubles every kDoubling.
 constexpr absl::Duration kHold = absl::Milliseconds(100);
 constexpr absl::Duration kDoubling = absl::Milliseconds(50);
@@ -32,10 +29,10 @@
   flow.updated = now;
 }
 
-double Headroom(const ClassFlow& flow, absl::Time now) {
+double Headroom(const ClassGate& gate, const ClassFlow& flow, absl::Time now) {
   const absl::Duration quiet = now - flow.last_refusal - kHold;
   const double doublings = absl::FDivDuration(quiet, kDoubling);
-  return kHeadroom * std::exp2(std::max(doublings, 0.0));
+  return gate.headroom * std::exp2(std::max(doublings, 0.0));
 }
 
 bool MoreImportantIsRefused(const ClassGate& gate,
@@ -49,11 +46,14 @@
   return false;
 }
 
-bool MayPass(const ClassFlow& flow, absl::Time now, uint64_t random) {
+bool MayPass(const ClassGate& gate,
+             const ClassFlow& flow,
+             absl::Time now,
+             uint64_t random) {
   if (now - flow.last_refusal >= kGateMemory || flow.offered <= 0) {
     return true;
   }
-  const double share = flow.accepted * Headroom(flow, now) / flow.offered;
+  const double share = flow.accepted * Headroom(gate, flow, now) / flow.offered;
   if (ToUnitInterval(DeriveBits(random, 1)) < share) {
     return true;
   }
@@ -70,7 +70,8 @@
   const auto index = static_cast<size_t>(call_class);
   ClassFlow& flow = gate.flows[index];
   Decay(flow, now);
-  if (MoreImportantIsRefused(gate, index, now) || !MayPass(flow, now, random)) {
+  if (MoreImportantIsRefused(gate, index, now) ||
+      !MayPass(gate, flow, now, random)) {
     flow.offered += 1;
     return false;
   }
--- a/src/boragepaddle/routing/class_gate.h
+++ b/src/boragepaddle/routing/class_gate.h
@@ -24,6 +24,8 @@
 /// accepted recently, and probes when none were. It opens by itself within
 /// kGateMemory of the last refusal.
 struct ClassGate {
+  /// Calls that pass for each accepted one while the class is refused.
+  double headroom = 1.5;
   std::array<ClassFlow, schema::kCallClassCount> flows;
 };
 
--- /dev/null
+++ b/tests/unit/egress_test.cc
@@ -0,0 +1,244 @@
+#include "boragepaddle/node/egress.h"
+
+#include <doctest/doctest.h>
+
+#include <variant>
+
+#include "boragepaddle/node/egress_request.h"
+#include "tests/unit/route_fixture.h"
+
+namespace boragepaddle::node {
+namespace {
+
+using schema::CallClass;
+using schema::Outcome;
+using schema::Reason;
+
+constexpr absl::string_view kTicket =
+    "t1.0000000000000007.0000000000000001.0000000000000000."
+    "00000000000000000000000000000000.vm-1";
+
+/// A caller's call to a service of three upstreams.
+struct Scene {
+  EgressSettings settings{kHere, EgressPolicy::kFull};
+  ServiceState service;
+  EgressCall call;
+  uint64_t random = 1;
+
+  Scene() {
+    routing::SetUpstreams(this->service.routes, kHere, MakeVms(3), kStart);
+    this->NewCall(CallClass::kMember);
+  }
+  void NewCall(CallClass call_class) {
+    this->call = EgressCall();
+    this->call.service = "catalogue";
+    this->call.operation = "read";
+    this->call.call_class = call_class;
+    this->call.deadline = At(100000);
+    this->call.tokens.left = 2;
+  }
+  EgressAction Begin(int ms) {
+    return BeginCall(this->call, this->service, this->settings, At(ms),
+                     this->random++);
+  }
+  EgressAction Answer(const schema::CallAnswer& answer, int ms) {
+    return OnAttemptAnswer(this->call, this->service, this->settings, answer,
+                           At(ms), this->random++);
+  }
+  EgressAction Lose(AttemptLoss loss, int ms) {
+    return OnAttemptLoss(this->call, this->service, this->settings, loss,
+                         At(ms), this->random++);
+  }
+};
+
+FinishCall Finished(const EgressAction& action) {
+  REQUIRE(std::holds_alternative<FinishCall>(action));
+  return std::get<FinishCall>(action);
+}
+
+std::string SentTo(const EgressAction& action) {
+  REQUIRE(std::holds_alternative<SendAttempt>(action));
+  return std::get<SendAttempt>(action).upstream.vm_id;
+}
+
+schema::CallAnswer Refusal(uint32_t level) {
+  auto answer = MakeAnswer(Outcome::kNotRun, Reason::kOverloaded, level);
+  answer.tokens_left = 1;
+  return answer;
+}
+
+// Guards against R2: a member's call that is given up while another upstream
+// still admits less important work.
+TEST_CASE("egress: a refused call goes to the other upstreams without tokens") {
+  Scene scene;
+  std::set<std::string> tried{SentTo(scene.Begin(0))};
+  tried.insert(SentTo(scene.Answer(Refusal(0), 1)));
+  tried.insert(SentTo(scene.Answer(Refusal(0), 2)));
+  CHECK(tried.size() == 3);
+  CHECK(scene.call.tokens.left + scene.call.delegated == 2);
+  const FinishCall finish = Finished(scene.Answer(Refusal(0), 3));
+  CHECK(finish.outcome == Outcome::kNotRun);
+  CHECK(finish.reason == Reason::kOverloaded);
+  CHECK(finish.tokens_left == 2);
+}
+
+// Guards against refusals of bulk work that multiply the load by the subset.
+TEST_CASE("egress: an unimportant call is tried twice unless one admits it") {
+  Scene scene;
+  scene.NewCall(CallClass::kBulk);
+  SentTo(scene.Begin(0));
+  SentTo(scene.Answer(Refusal(0), 1));
+  CHECK(Finished(scene.Answer(Refusal(0), 2)).outcome == Outcome::kNotRun);
+}
+
+// Guards against R4: "not run" after an attempt that may have run.
+TEST_CASE("egress: after an unknown attempt the call never ends not run") {
+  Scene scene;
+  scene.call.rule.retry_on_unknown = true;
+  SentTo(scene.Begin(0));
+  CHECK(std::holds_alternative<WaitUntil>(
+      scene.Lose(AttemptLoss::kConnectionLost, 1)));
+  OnWaitOver(scene.call, scene.service, scene.settings, At(20), 5);
+  const FinishCall finish = Finished(
+      scene.Answer(MakeAnswer(Outcome::kNotRun, Reason::kQuarantined), 21));
+  CHECK(finish.outcome == Outcome::kUnknown);
+}
+
+TEST_CASE("egress: unknown is not retried without rule, token or caller") {
+  Scene scene;
+  SentTo(scene.Begin(0));
+  CHECK(Finished(scene.Lose(AttemptLoss::kTimeout, 1)).outcome ==
+        Outcome::kUnknown);
+  scene.NewCall(CallClass::kMember);
+  scene.call.rule.retry_on_unknown = true;
+  scene.call.tokens.left = 0;
+  SentTo(scene.Begin(2));
+  CHECK(Finished(scene.Lose(AttemptLoss::kTimeout, 3)).reason ==
+        Reason::kTimeout);
+  scene.NewCall(CallClass::kMember);
+  scene.call.rule.retry_on_unknown = true;
+  SentTo(scene.Begin(4));
+  CHECK(Finished(scene.Lose(AttemptLoss::kCallerGone, 5)).reason ==
+        Reason::kSenderGone);
+}
+
+// Guards against R5 inside a request, even if a rule were wrong.
+TEST_CASE("egress: an at-most-once child is never resent after unknown") {
+  Scene scene;
+  scene.call.child = true;
+  scene.call.rule.at_most_once = true;
+  scene.call.rule.retry_on_unknown = true;
+  SentTo(scene.Begin(0));
+  CHECK(Finished(scene.Lose(AttemptLoss::kConnectionLost, 1)).outcome ==
+        Outcome::kUnknown);
+}
+
+TEST_CASE("egress: an at-most-once call without a ticket only gets a ticket") {
+  Scene scene;
+  scene.call.rule.at_most_once = true;
+  REQUIRE(std::holds_alternative<AskTicket>(scene.Begin(0)));
+  // A node that does not answer is left for another one.
+  REQUIRE(std::holds_alternative<AskTicket>(
+      scene.Lose(AttemptLoss::kTimeout, 300)));
+  schema::TicketGrant grant;
+  grant.ticket = std::string(kTicket);
+  const FinishCall finish = Finished(OnTicketGrant(
+      scene.call, scene.service, scene.settings, grant, At(301), 3));
+  CHECK(finish.outcome == Outcome::kNotRun);
+  CHECK(finish.reason == Reason::kTicketNeeded);
+  CHECK(finish.ticket == kTicket);
+}
+
+void MakeTicketed(Scene& scene) {
+  scene.NewCall(CallClass::kMember);
+  scene.call.rule.at_most_once = true;
+  scene.call.ticket = std::string(kTicket);
+}
+
+// Guards against R5: a second execution elsewhere, and a false "not run".
+TEST_CASE("egress: a ticket goes only to its incarnation") {
+  Scene scene;
+  MakeTicketed(scene);
+  CHECK(SentTo(scene.Begin(0)) == "vm-1");
+  CHECK(Finished(scene.Lose(AttemptLoss::kNotSent, 1)).outcome ==
+        Outcome::kUnknown);
+  MakeTicketed(scene);
+  SentTo(scene.Begin(2));
+  auto answer = Refusal(0);
+  answer.incarnation = 7;
+  CHECK(Finished(scene.Answer(answer, 3)).outcome == Outcome::kNotRun);
+  MakeTicketed(scene);
+  SentTo(scene.Begin(4));
+  answer.incarnation = 8;
+  const FinishCall other = Finished(scene.Answer(answer, 5));
+  CHECK(other.outcome == Outcome::kUnknown);
+  CHECK(other.reason == Reason::kIncarnationGone);
+  routing::OnHello(scene.service.routes, kHere, MakeHello("vm-1", 8), At(6));
+  MakeTicketed(scene);
+  CHECK(Finished(scene.Begin(7)).reason == Reason::kIncarnationGone);
+  scene.call.ticket = "forged";
+  scene.call.maybe_run = false;
+  const FinishCall forged = Finished(scene.Begin(8));
+  CHECK(forged.outcome == Outcome::kNotRun);
+  CHECK(forged.reason == Reason::kTicketInvalid);
+}
+
+// Guards against work in a chain whose deepest service refuses the class.
+TEST_CASE("egress: the entry refuses what a service below refuses, briefly") {
+  Scene scene;
+  auto failed = MakeAnswer(Outcome::kCompleted);
+  failed.status = 502;
+  failed.refused_below = true;
+  SentTo(scene.Begin(0));
+  CHECK(Finished(scene.Answer(failed, 10)).refused);
+  scene.NewCall(CallClass::kMember);
+  CHECK(Finished(scene.Begin(11)).outcome == Outcome::kNotRun);
+  // Another operation of the service does not call the refusing one.
+  scene.NewCall(CallClass::kMember);
+  scene.call.operation = "check";
+  SentTo(scene.Begin(12));
+  scene.NewCall(CallClass::kMember);
+  SentTo(scene.Begin(311));
+}
+
+// Guards against a sender that gives up before the upstream's truthful answer.
+TEST_CASE("egress: the upstream's deadline is earlier by a margin") {
+  Scene scene;
+  scene.call.deadline = At(100);
+  const EgressAction action = scene.Begin(0);
+  CHECK(std::get<SendAttempt>(action).request.deadline_us == 90000);
+  CHECK(std::get<SendAttempt>(action).give_up_at == At(100));
+  CHECK(AnswerMargin(absl::Seconds(2)) == absl::Milliseconds(25));
+}
+
+TEST_CASE("egress: a hop is not tried without time for the fastest answer") {
+  Scene scene;
+  for (int i = 0; i < 10; ++i) {
+    scene.NewCall(CallClass::kMember);
+    SentTo(scene.Begin(i));
+    scene.Answer(MakeAnswer(Outcome::kCompleted), i + 30);
+  }
+  scene.NewCall(CallClass::kMember);
+  scene.call.deadline = At(70);
+  CHECK(Finished(scene.Begin(45)).reason == Reason::kDeadline);
+  scene.call.deadline = At(80);
+  SentTo(scene.Begin(45));
+}
+
+TEST_CASE("egress: comparison policies make one and four attempts") {
+  for (const auto& [policy, expected] :
+       {std::pair{EgressPolicy::kOff, 1}, {EgressPolicy::kPerHopRetries, 4}}) {
+    Scene scene;
+    scene.settings.policy = policy;
+    int attempts = 0;
+    EgressAction action = scene.Begin(0);
+    while (std::holds_alternative<SendAttempt>(action)) {
+      ++attempts;
+      action = scene.Answer(Refusal(0), attempts);
+    }
+    CHECK(attempts == expected);
+  }
+}
+
+}  // namespace
+}  // namespace boragepaddle::node
