--- a/src/boragepaddle/daemon/caller_service.cc
+++ b/src/boragepaddle/daemon/caller_service.cc
@@ -22,6 +22,7 @@
 
 constexpr uint32_t kStatusBadRequest = 400;
 constexpr uint32_t kStatusNotFound = 404;
+constexpr uint32_t kStatusMethodNotAllowed = 405;
 constexpr uint32_t kStatusTicketNeeded = 428;
 constexpr uint32_t kStatusNotRun = 503;
 constexpr uint32_t kStatusUnknown = 504;
@@ -75,6 +76,9 @@
     : rules(rules), contexts(contexts), egress(egress), metrics(metrics) {}
 
 HttpReply CallerService::FromCaller(const HttpCall& http) {
+  if (http.method != "POST") {
+    return NotRunReply(Reason::kBadRequest, kStatusMethodNotAllowed);
+  }
   auto target = this->Resolve(http);
   if (!target) {
     return NotRunReply(Reason::kUnknownService, kStatusNotFound);
@@ -83,6 +87,9 @@
 }
 
 HttpReply CallerService::FromWorker(const HttpCall& http) {
+  if (http.method != "POST") {
+    return NotRunReply(Reason::kBadRequest, kStatusMethodNotAllowed);
+  }
   auto target = this->Resolve(http);
   if (!target) {
     return NotRunReply(Reason::kUnknownService, kStatusNotFound);
@@ -140,8 +147,7 @@
 absl::optional<CallerService::Target> CallerService::Resolve(
     const HttpCall& http) {
   const std::vector<std::string> parts = absl::StrSplit(http.path, '/');
-  if (http.method != "POST" || parts.size() != 4 || !parts[0].empty() ||
-      parts[1] != "call") {
+  if (parts.size() != 4 || !parts[0].empty() || parts[1] != "call") {
     return absl::nullopt;
   }
   const auto rule = this->rules.Find(parts[2], parts[3]);
--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -14,12 +14,15 @@
 
 constexpr size_t kOperatorConnections = 32;
 constexpr uint32_t kStatusUnavailable = 503;
+constexpr uint32_t kStatusBadRequest = 400;
 
 transport::HttpListenerSettings ListenerSettings(size_t max_connections) {
   transport::HttpListenerSettings settings;
   settings.max_connections = max_connections;
   settings.overflow_reply =
       NotRunReply(schema::Reason::kTooManyConnections, kStatusUnavailable);
+  settings.malformed_reply =
+      NotRunReply(schema::Reason::kBadRequest, kStatusBadRequest);
   return settings;
 }
 
--- a/src/boragepaddle/daemon/peer_hub.cc
+++ b/src/boragepaddle/daemon/peer_hub.cc
@@ -14,6 +14,9 @@
 // must not hold up a call for long.
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
 
+// Each holds a thread until its Hello arrives or times out.
+constexpr size_t kMaxStrangers = 256;
+
 }  // namespace
 
 PeerHub::PeerHub(HelloSource own_hello, transport::PeerLinkHandler& handler)
@@ -26,6 +29,12 @@
 }
 
 void PeerHub::Accept(transport::Socket socket) {
+  {
+    absl::MutexLock lock(&this->mutex);
+    if (this->strangers.size() >= kMaxStrangers) {
+      return;
+    }
+  }
   this->Start(std::move(socket), /*opened_here=*/false);
 }
 
@@ -78,6 +87,10 @@
 }
 
 void PeerHub::OnOpen(const PeerLinkPtr& link) {
+  {
+    absl::MutexLock lock(&this->mutex);
+    this->strangers.erase(link->id());
+  }
   if (this->observer != nullptr) {
     this->observer->OnPeerHello(link->peer(), this->IsOpenedHere(link->id()));
   }
@@ -101,6 +114,7 @@
   {
     absl::MutexLock lock(&this->mutex);
     opened = this->opened_here.erase(link->id()) > 0;
+    this->strangers.erase(link->id());
   }
   if (opened && this->observer != nullptr) {
     this->observer->OnPeerLost(link->peer());
@@ -119,9 +133,8 @@
       static_cast<transport::PeerLinkHandler&>(*this));
   {
     absl::MutexLock lock(&this->mutex);
-    if (opened_here) {
-      this->opened_here.insert(link->id());
-    }
+    auto& kind = opened_here ? this->opened_here : this->strangers;
+    kind.insert(link->id());
     const auto gone = [](const std::weak_ptr<transport::PeerLink>& weak) {
       return weak.expired();
     };
--- a/src/boragepaddle/daemon/peer_hub.h
+++ b/src/boragepaddle/daemon/peer_hub.h
@@ -49,7 +49,8 @@
   /// Names the only observer; called before the first connection.
   void Observe(PeerObserver* observer) { this->observer = observer; }
 
-  /// Takes over a connection that another node opened.
+  /// Takes over a connection that another node opened. Closes it if too many
+  /// connections wait for their Hello.
   void Accept(transport::Socket socket);
 
   /// Returns an open connection to the address, connecting if there is none;
@@ -84,6 +85,8 @@
   absl::Mutex mutex;
   /// Links that this node opened and that have not been closed.
   absl::flat_hash_set<uint64_t> opened_here ABSL_GUARDED_BY(mutex);
+  /// Accepted links whose peer has not said Hello.
+  absl::flat_hash_set<uint64_t> strangers ABSL_GUARDED_BY(mutex);
   absl::flat_hash_map<std::string, std::shared_ptr<Slot>> outgoing
       ABSL_GUARDED_BY(mutex);
   std::vector<std::weak_ptr<transport::PeerLink>> all ABSL_GUARDED_BY(mutex);
--- a/src/boragepaddle/transport/frame.cc
+++ b/src/boragepaddle/transport/frame.cc
@@ -1,13 +1,17 @@
 #include "boragepaddle/transport/frame.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdint>
 #include <cstring>
 
+#include "boragepaddle/transport/clock.h"
+
 namespace boragepaddle::transport {
 
 namespace {
@@ -17,9 +21,26 @@
   return timed_out ? TransportErrorCode::kTimeout : TransportErrorCode::kClosed;
 }
 
-bool ReadAll(int fd, char* data, size_t size) {
+bool WaitReadable(int fd, absl::Time give_up_at) {
+  if (give_up_at == absl::InfiniteFuture()) {
+    return true;
+  }
+  const absl::Duration left = give_up_at - MonotonicNow();
+  pollfd entry{fd, POLLIN, 0};
+  const auto milliseconds = static_cast<int>(absl::ToInt64Milliseconds(left));
+  const int ready = poll(&entry, 1, std::max(milliseconds, 0));
+  if (ready == 0) {
+    errno = EAGAIN;
+  }
+  return ready == 1 || (ready < 0 && errno == EINTR);
+}
+
+bool ReadAll(int fd, char* data, size_t size, absl::Time give_up_at) {
   size_t done = 0;
   while (done < size) {
+    if (!WaitReadable(fd, give_up_at)) {
+      return false;
+    }
     const ssize_t count = recv(fd, data + done, size - done, 0);
     if (count > 0) {
       done += static_cast<size_t>(count);
@@ -51,18 +72,20 @@
 
 }  // namespace
 
-base::Result<std::string, TransportError> ReadFrame(const Socket& socket) {
+base::Result<std::string, TransportError> ReadFrame(const Socket& socket,
+                                                    size_t max_bytes,
+                                                    absl::Time give_up_at) {
   uint32_t length = 0;
-  if (!ReadAll(socket.get(), reinterpret_cast<char*>(&length),
-               sizeof(length))) {
+  if (!ReadAll(socket.get(), reinterpret_cast<char*>(&length), sizeof(length),
+               give_up_at)) {
     return TransportError{CodeForErrno(errno), errno};
   }
   const size_t size = ntohl(length);
-  if (size > kMaxFrameBytes) {
+  if (size > max_bytes) {
     return TransportError{TransportErrorCode::kFrameTooLarge, 0};
   }
   std::string payload(size, '\0');
-  if (!ReadAll(socket.get(), payload.data(), size)) {
+  if (!ReadAll(socket.get(), payload.data(), size, give_up_at)) {
     return TransportError{CodeForErrno(errno), errno};
   }
   return payload;
--- a/src/boragepaddle/transport/frame.h
+++ b/src/boragepaddle/transport/frame.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "absl/strings/string_view.h"
+#include "absl/time/time.h"
 #include "boragepaddle/base/result.h"
 #include "boragepaddle/transport/socket.h"
 #include "boragepaddle/transport/transport_error.h"
@@ -14,8 +15,16 @@
 /// Largest payload of one frame, in bytes.
 inline constexpr size_t kMaxFrameBytes = 8u << 20;
 
-/// Reads one frame: a 4-byte big-endian length and the payload.
-base::Result<std::string, TransportError> ReadFrame(const Socket& socket);
+/// Largest payload of the first frame, which comes from a stranger.
+inline constexpr size_t kMaxHelloBytes = 16u << 10;
+
+/// Reads one frame: a 4-byte big-endian length and the payload. Fails if the
+/// payload is larger than `max_bytes` or not whole by `give_up_at` (on the
+/// clock of MonotonicNow).
+base::Result<std::string, TransportError> ReadFrame(
+    const Socket& socket,
+    size_t max_bytes = kMaxFrameBytes,
+    absl::Time give_up_at = absl::InfiniteFuture());
 
 /// Writes one frame.
 base::Result<size_t, TransportError> WriteFrame(const Socket& socket,
--- a/src/boragepaddle/transport/http_listener.cc
+++ b/src/boragepaddle/transport/http_listener.cc
@@ -27,6 +27,9 @@
 /// True on a thread that serves a connection beyond the limit.
 thread_local bool serving_overflow = false;
 
+/// True once the request on this thread was parsed and answered by us.
+thread_local bool answered_by_handler = false;
+
 /// Hands connections to the main pool, or to the overflow pool if that is full.
 class ConnectionQueue : public httplib::TaskQueue {
  public:
@@ -84,6 +87,10 @@
         [this](const httplib::Request& request, httplib::Response& response) {
           return this->Refuse(request, response);
         });
+    this->set_error_handler(
+        [this](const httplib::Request& request, httplib::Response& response) {
+          this->CompleteMalformed(request, response);
+        });
     const auto serve = [this](const httplib::Request& request,
                               httplib::Response& response) {
       this->Serve(request, response);
@@ -134,7 +141,9 @@
   }
 
   void ServeConnection(socket_t fd) {
-    HttpStream stream(fd, this->settings.io_timeout);
+    HttpStream stream(
+        fd, {this->settings.io_timeout, this->settings.request_timeout,
+             this->settings.max_head_bytes + this->settings.max_body_bytes});
     while (!this->stopping) {
       this->SetIdle(fd, true);
       const bool readable = stream.WaitForRequest(this->settings.idle_timeout);
@@ -143,9 +152,11 @@
         return;
       }
       bool closed = false;
+      answered_by_handler = false;
       const auto setup = [](httplib::Request&) {};
       if (!this->process_request(stream, serving_overflow, closed, setup) ||
-          closed || serving_overflow) {
+          closed || serving_overflow || !answered_by_handler) {
+        // The rest of a malformed request must not be read as the next one.
         return;
       }
     }
@@ -156,11 +167,24 @@
     if (!serving_overflow) {
       return HandlerResponse::Unhandled;
     }
+    answered_by_handler = true;
     FillResponse(this->settings.overflow_reply, response);
     return HandlerResponse::Handled;
   }
 
+  /// Adds the headers that callers rely on to answers of cpp-httplib.
+  void CompleteMalformed(const httplib::Request& /*request*/,
+                         httplib::Response& response) {
+    if (answered_by_handler) {
+      return;
+    }
+    for (const HttpHeader& header : this->settings.malformed_reply.headers) {
+      response.set_header(header.name, header.value);
+    }
+  }
+
   void Serve(const httplib::Request& request, httplib::Response& response) {
+    answered_by_handler = true;
     HttpCall call;
     call.method = request.method;
     call.path = request.path;
--- a/src/boragepaddle/transport/http_listener.h
+++ b/src/boragepaddle/transport/http_listener.h
@@ -22,9 +22,16 @@
   absl::Duration idle_timeout = absl::Seconds(60);
   /// A client that pauses longer inside a request is disconnected.
   absl::Duration io_timeout = absl::Seconds(5);
+  /// A request that takes longer to arrive is refused.
+  absl::Duration request_timeout = absl::Seconds(10);
   size_t max_body_bytes = 4u << 20;
+  /// Request line and all headers together.
+  size_t max_head_bytes = 64u << 10;
   /// Answer to requests on connections beyond the limit.
   HttpReply overflow_reply;
+  /// Headers of answers to requests that cannot be parsed; the status is 400,
+  /// 404, 413 or 414.
+  HttpReply malformed_reply;
 };
 
 /// HTTP server on cpp-httplib with a thread for each connection.
--- a/src/boragepaddle/transport/http_stream.cc
+++ b/src/boragepaddle/transport/http_stream.cc
@@ -9,6 +9,8 @@
 #include <cerrno>
 #include <cstring>
 
+#include "boragepaddle/transport/clock.h"
+
 namespace boragepaddle::transport {
 
 namespace {
@@ -22,24 +24,38 @@
 
 }  // namespace
 
-HttpStream::HttpStream(int fd, absl::Duration io_timeout)
-    : fd(fd), io_timeout(io_timeout) {}
+HttpStream::HttpStream(int fd, const HttpStreamLimits& limits)
+    : fd(fd), limits(limits) {}
 
 bool HttpStream::WaitForRequest(absl::Duration idle_timeout) {
-  return this->begin < this->end || this->Poll(POLLIN, idle_timeout);
+  const bool readable =
+      this->begin < this->end || this->Poll(POLLIN, idle_timeout);
+  this->request_ends = MonotonicNow() + this->limits.request_timeout;
+  this->request_bytes = 0;
+  return readable;
+}
+
+// A sender that drips single bytes would otherwise hold its thread for good.
+absl::Duration HttpStream::ReadTimeout() const {
+  return std::max(
+      absl::ZeroDuration(),
+      std::min(this->limits.io_timeout, this->request_ends - MonotonicNow()));
 }
 
 bool HttpStream::is_readable() const {
-  return this->begin < this->end || this->Poll(POLLIN, this->io_timeout);
+  return this->begin < this->end || this->Poll(POLLIN, this->ReadTimeout());
 }
 
 bool HttpStream::is_writable() const {
-  return this->Poll(POLLOUT, this->io_timeout);
+  return this->Poll(POLLOUT, this->limits.io_timeout);
 }
 
 ssize_t HttpStream::read(char* data, size_t size) {
   if (this->begin == this->end) {
-    if (!this->Poll(POLLIN, this->io_timeout)) {
+    if (this->request_bytes >= this->limits.max_request_bytes) {
+      return -1;
+    }
+    if (!this->Poll(POLLIN, this->ReadTimeout())) {
       return -1;
     }
     const ssize_t count =
@@ -47,6 +63,7 @@
     if (count <= 0) {
       return count;
     }
+    this->request_bytes += static_cast<size_t>(count);
     this->begin = 0;
     this->end = static_cast<size_t>(count);
   }
--- a/src/boragepaddle/transport/http_stream.h
+++ b/src/boragepaddle/transport/http_stream.h
@@ -11,12 +11,23 @@
 
 namespace boragepaddle::transport {
 
+/// Limits on one request of a stream.
+struct HttpStreamLimits {
+  /// Longest pause inside a request or answer.
+  absl::Duration io_timeout;
+  /// Time from the first byte of a request to its last.
+  absl::Duration request_timeout;
+  /// Bytes of a request, with its head.
+  size_t max_request_bytes = 0;
+};
+
 /// Buffered stream over a connected socket, for cpp-httplib's parser.
 class HttpStream : public httplib::Stream {
  public:
-  HttpStream(int fd, absl::Duration io_timeout);
+  HttpStream(int fd, const HttpStreamLimits& limits);
 
   /// Waits for the next request; false on timeout, end of stream or error.
+  /// The limits on the request count from here.
   bool WaitForRequest(absl::Duration idle_timeout);
 
   bool is_readable() const override;
@@ -30,10 +41,13 @@
  private:
   static constexpr size_t kBufferBytes = 4096;
 
+  absl::Duration ReadTimeout() const;
   bool Poll(int16_t events, absl::Duration timeout) const;
 
   const int fd;
-  const absl::Duration io_timeout;
+  const HttpStreamLimits limits;
+  absl::Time request_ends = absl::InfiniteFuture();
+  size_t request_bytes = 0;
   std::array<char, kBufferBytes> buffer;
   size_t begin = 0;
   size_t end = 0;
--- a/src/boragepaddle/transport/peer_link.cc
+++ b/src/boragepaddle/transport/peer_link.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "boragepaddle/transport/clock.h"
 #include "boragepaddle/transport/frame.h"
 
 namespace boragepaddle::transport {
@@ -16,6 +17,12 @@
   setsockopt(socket.get(), SOL_SOCKET, option, &value, sizeof(value));
 }
 
+LinkClose CloseReasonFor(const TransportError& error, LinkClose otherwise) {
+  return error.code == TransportErrorCode::kFrameTooLarge
+             ? LinkClose::kFrameTooLarge
+             : otherwise;
+}
+
 }  // namespace
 
 const char* ToString(LinkClose value) {
@@ -26,6 +33,8 @@
       return "connection closed";
     case LinkClose::kBadFrame:
       return "bad frame";
+    case LinkClose::kFrameTooLarge:
+      return "frame too large";
     case LinkClose::kNoHello:
       return "no hello";
     case LinkClose::kWrongFleet:
@@ -49,7 +58,6 @@
 
 void PeerLink::Start(const schema::Hello& own) {
   SetTimeout(this->socket, SO_SNDTIMEO, this->settings.send_timeout);
-  SetTimeout(this->socket, SO_RCVTIMEO, this->settings.hello_timeout);
   this->Send(own);
   // The thread holds a reference, so that the link outlives its reader.
   std::thread([self = this->shared_from_this(), fleet = own.fleet] {
@@ -81,9 +89,10 @@
 }
 
 bool PeerLink::ReadHello(const std::string& fleet) {
-  auto payload = ReadFrame(this->socket);
+  auto payload = ReadFrame(this->socket, kMaxHelloBytes,
+                           MonotonicNow() + this->settings.hello_timeout);
   if (!payload) {
-    this->Close(LinkClose::kNoHello);
+    this->Close(CloseReasonFor(payload.error(), LinkClose::kNoHello));
     return false;
   }
   auto message = schema::Decode(payload.value());
@@ -96,7 +105,6 @@
     this->Close(LinkClose::kWrongFleet);
     return false;
   }
-  SetTimeout(this->socket, SO_RCVTIMEO, absl::ZeroDuration());
   return true;
 }
 
@@ -107,7 +115,8 @@
     while (this->open()) {
       auto payload = ReadFrame(this->socket);
       if (!payload) {
-        this->Close(LinkClose::kConnectionClosed);
+        this->Close(
+            CloseReasonFor(payload.error(), LinkClose::kConnectionClosed));
         break;
       }
       this->received += payload.value().size() + sizeof(uint32_t);
--- a/src/boragepaddle/transport/peer_link.h
+++ b/src/boragepaddle/transport/peer_link.h
@@ -33,6 +33,7 @@
   kOpen,
   kConnectionClosed,
   kBadFrame,
+  kFrameTooLarge,
   kNoHello,
   kWrongFleet,
   kLocal,
