--- a/src/boragepaddle/daemon/caller_service.cc
+++ b/src/boragepaddle/daemon/caller_service.cc
@@ -46,6 +46,13 @@
   return absl::Milliseconds(milliseconds);
 }
 
+// A caller on a kept connection learns from a refusal that it must go to
+// another node. The process ends only when no caller has asked for this time,
+// because a request that arrives at the end of the process would be lost.
+constexpr absl::Duration kQuietBeforeEnd = absl::Milliseconds(250);
+// Callers that ignore the refusals must not hold up the stop.
+constexpr absl::Duration kLongestLinger = absl::Seconds(3);
+
 bool HasValidIds(const HttpCall& http) {
   return http.header("Boragepaddle-Request-Id").size() <= kMaxRequestIdLength &&
          http.header("Boragepaddle-Ticket").size() <= kMaxTicketLength;
@@ -75,7 +82,37 @@
                              metrics::CallMetrics& metrics)
     : rules(rules), contexts(contexts), egress(egress), metrics(metrics) {}
 
+void CallerService::StartLeaving() {
+  absl::MutexLock lock(&this->mutex);
+  this->leaving_since = transport::MonotonicNow();
+}
+
+bool CallerService::IsLeaving() {
+  absl::MutexLock lock(&this->mutex);
+  if (this->leaving_since == absl::InfiniteFuture()) {
+    return false;
+  }
+  this->last_refused = transport::MonotonicNow();
+  return true;
+}
+
+bool CallerService::IsDrained() {
+  absl::MutexLock lock(&this->mutex);
+  const absl::Time now = transport::MonotonicNow();
+  const absl::Time last = std::max(this->leaving_since, this->last_refused);
+  const bool quiet = now - last >= kQuietBeforeEnd ||
+                     now - this->leaving_since >= kLongestLinger;
+  return quiet && this->active_calls == 0;
+}
+
 HttpReply CallerService::FromCaller(const HttpCall& http) {
+  if (this->IsLeaving()) {
+    HttpReply reply = NotRunReply(Reason::kLeaving, kStatusNotRun);
+    reply.headers.push_back(
+        {"Boragepaddle-Request-Id", http.header("Boragepaddle-Request-Id")});
+    reply.close_connection = true;
+    return reply;
+  }
   if (http.method != "POST") {
     return NotRunReply(Reason::kBadRequest, kStatusMethodNotAllowed);
   }
--- a/src/boragepaddle/daemon/caller_service.h
+++ b/src/boragepaddle/daemon/caller_service.h
@@ -4,6 +4,9 @@
 #include <atomic>
 #include <cstdint>
 
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "boragepaddle/daemon/egress_client.h"
 #include "boragepaddle/daemon/request_contexts.h"
@@ -29,6 +32,14 @@
   /// A request on the worker port: a child call if its context is valid.
   transport::HttpReply FromWorker(const transport::HttpCall& http);
 
+  /// Refuses new requests of callers from now on. Calls of the local worker
+  /// go on, since they belong to requests in flight.
+  void StartLeaving();
+
+  /// True when no request is served and callers have had time to move to
+  /// other nodes.
+  bool IsDrained();
+
   /// Requests being served now.
   uint32_t active() const { return this->active_calls; }
 
@@ -40,6 +51,7 @@
     node::CallRule rule;
   };
 
+  bool IsLeaving();
   absl::optional<Target> Resolve(const transport::HttpCall& http);
   transport::HttpReply RunRoot(const transport::HttpCall& http,
                                Target target,
@@ -51,6 +63,11 @@
   EgressClient& egress;
   metrics::CallMetrics& metrics;
   std::atomic<uint32_t> active_calls{0};
+  absl::Mutex mutex;
+  /// When the node started to leave.
+  absl::Time leaving_since ABSL_GUARDED_BY(mutex) = absl::InfiniteFuture();
+  /// Last request of a caller that was refused since.
+  absl::Time last_refused ABSL_GUARDED_BY(mutex) = absl::InfinitePast();
 };
 
 /// Headers and status for the end of a call.
--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -107,11 +107,12 @@
     return;
   }
   this->ingress.StartLeaving();
+  this->callers.StartLeaving();
   this->hub.Broadcast(schema::Leaving{this->settings.vm_id, this->incarnation});
 }
 
 bool NodeDaemon::IsDrained() {
-  return this->ingress.IsDrained() && this->callers.active() == 0;
+  return this->ingress.IsDrained() && this->callers.IsDrained();
 }
 
 std::string NodeDaemon::DescribeWorkInFlight() {
--- a/src/boragepaddle/transport/http_listener.cc
+++ b/src/boragepaddle/transport/http_listener.cc
@@ -30,6 +30,9 @@
 /// True once the request on this thread was parsed and answered by us.
 thread_local bool answered_by_handler = false;
 
+/// True if the handler asked to close the connection after its answer.
+thread_local bool close_after_answer = false;
+
 /// Hands connections to the main pool, or to the overflow pool if that is full.
 class ConnectionQueue : public httplib::TaskQueue {
  public:
@@ -58,6 +61,10 @@
 
 void FillResponse(const HttpReply& reply, httplib::Response& response) {
   response.status = static_cast<int>(reply.status);
+  if (reply.close_connection) {
+    response.set_header("Connection", "close");
+    close_after_answer = true;
+  }
   for (const HttpHeader& header : reply.headers) {
     response.set_header(header.name, header.value);
   }
@@ -153,9 +160,11 @@
       }
       bool closed = false;
       answered_by_handler = false;
+      close_after_answer = false;
       const auto setup = [](httplib::Request&) {};
       if (!this->process_request(stream, serving_overflow, closed, setup) ||
-          closed || serving_overflow || !answered_by_handler) {
+          closed || serving_overflow || close_after_answer ||
+          !answered_by_handler) {
         // The rest of a malformed request must not be read as the next one.
         return;
       }
--- a/src/boragepaddle/transport/http_message.h
+++ b/src/boragepaddle/transport/http_message.h
@@ -34,6 +34,8 @@
   std::string content_type = "application/json";
   std::string body;
   std::vector<HttpHeader> headers;
+  /// Close the connection after the answer.
+  bool close_connection = false;
 };
 
 using HttpHandler = std::function<HttpReply(const HttpCall&)>;
