--- a/src/boragepaddle/daemon/ingress_server.cc
+++ b/src/boragepaddle/daemon/ingress_server.cc
@@ -47,6 +47,19 @@
   return absl::StrCat(key.link_id, "-", key.attempt_id);
 }
 
+/// Tells the sender that a call below was refused, so that its entry can
+/// refuse such requests before work is done.
+void MarkRefusedBelow(node::CallKey key,
+                      bool refused_below,
+                      node::IngressActions& actions) {
+  for (node::IngressAction& action : actions) {
+    auto* answer = std::get_if<node::AnswerCall>(&action);
+    if (answer != nullptr && answer->key == key) {
+      answer->answer.refused_below = refused_below;
+    }
+  }
+}
+
 }  // namespace
 
 IngressServer::IngressServer(const schema::NodeSettings& settings,
@@ -322,12 +335,14 @@
   context.tokens.left = call.request.retry_tokens;
   this->contexts.Open(context_id, std::move(context));
   node::WorkerAnswer answer = this->CallWorker(call, context_id, key);
+  const bool refused_below = this->contexts.IsRefusedBelow(context_id);
   const uint32_t tokens_left = this->contexts.Close(context_id);
   node::IngressActions actions;
   {
     absl::MutexLock lock(&this->mutex);
     actions = node::OnWorkerEnd(this->state, key, std::move(answer),
                                 tokens_left, MonotonicNow());
+    MarkRefusedBelow(key, refused_below, actions);
   }
   this->Perform(std::move(actions));
 }
