--- a/emulator/fake_worker.cc
+++ b/emulator/fake_worker.cc
@@ -96,8 +96,12 @@
   server->Get("/log", [this](const Request&, Response& response) {
     AnswerJson(this->log.ToJson(), 200, &response);
   });
+  server->Get("/admissions", [this](const Request&, Response& response) {
+    AnswerJson(this->admissions.ToJson(), 200, &response);
+  });
   server->Delete("/log", [this](const Request&, Response& response) {
     this->log.Clear();
+    this->admissions.Clear();
     AnswerJson("{}", 200, &response);
   });
 }
@@ -143,6 +147,8 @@
   }
   ++this->started;
   this->log.OnStarted(run->operation, run->key);
+  this->admissions.OnStarted(request.get_header_value("Boragepaddle-Class"),
+                             absl::Now());
   const std::string marker = this->Behaviour()->crash_marker;
   const absl::Time start = absl::Now();
   const absl::Duration service_time = this->ServiceTime(run->behaviour);
--- a/emulator/fake_worker.h
+++ b/emulator/fake_worker.h
@@ -14,6 +14,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/synchronization/notification.h"
 #include "absl/time/time.h"
+#include "emulator/admission_windows.h"
 #include "emulator/client_pool.h"
 #include "emulator/execution_log.h"
 #include "emulator/slot_gate.h"
@@ -65,6 +66,7 @@
   absl::BitGen random ABSL_GUARDED_BY(mutex);
   SlotGate gate;
   ExecutionLog log;
+  AdmissionWindows admissions;
   ClientPool clients;
   std::atomic<uint64_t> requests{0};
   std::atomic<uint64_t> started{0};
--- a/tools/mesh/mesh.py
+++ b/tools/mesh/mesh.py
@@ -12,11 +12,11 @@
 from mesh.wait import wait_until
 
 READY_TIMEOUT_S = 30
-_REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 
 def build_folder():
-    return os.environ.get("BORAGEPADDLE_BUILD", os.path.join(_REPOSITORY, "build"))
+    return os.environ.get("BORAGEPADDLE_BUILD", os.path.join(REPOSITORY, "build"))
 
 
 def program(name):
