--- a/src/boragepaddle/config/diff.cc
+++ b/src/boragepaddle/config/diff.cc
@@ -5,30 +5,24 @@
 #include <tuple>
 #include <utility>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
+#include "boragepaddle/config/rule_keys.h"
+#include "boragepaddle/config/tree_diff.h"
 #include "boragepaddle/schema/json_reader.h"
 
 namespace boragepaddle::config {
 
 namespace {
 
-struct Leaf {
-  std::string service;
-  std::string operation;
-  std::string value;
-};
+using Json = nlohmann::json;
 
-// Leaves of one file by key path.
-struct FlatFile {
-  std::string name;
-  std::string member;
-  std::map<std::string, Leaf> leaves;
+// Two versions of one member's file; null if it does not exist.
+struct FilePair {
+  const ParsedFile* from = nullptr;
+  const ParsedFile* to = nullptr;
 };
 
-std::string Dump(const nlohmann::json& json) {
-  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 // Stands for a text that is not JSON and may be as large as a file.
 std::string Summary(const std::string& text) {
   const uint64_t digest = DigestOf({{"", text}});
@@ -36,174 +30,95 @@
                       absl::Hex(digest, absl::kZeroPad16), ")");
 }
 
-// Returns the value that identifies an entry of a list; empty if there is
-// none.
-std::string NameOf(const nlohmann::json& entry) {
-  for (const char* key : {"name", "member"}) {
-    if (entry.is_object() && entry.contains(key) && entry[key].is_string()) {
-      return entry[key].get<std::string>();
-    }
-  }
-  return "";
+bool IsValid(const ParsedFile* file) {
+  return file == nullptr || file->faults.empty();
 }
 
-bool IsListOfObjects(const nlohmann::json& json) {
-  return json.is_array() && !json.empty() && json.front().is_object();
+// The file as written, for a file with faults.
+FileTree RawTree(const ParsedFile& file) {
+  FileTree tree = {file.name, file.member, Json()};
+  schema::SettingsErrors ignored;
+  if (!schema::ParseJson(file.name, file.text, &tree.json, &ignored)) {
+    tree.json = Summary(file.text);
+  }
+  return tree;
 }
 
-class Flattener {
- public:
-  explicit Flattener(FlatFile* out) : out(out) {}
-
-  void AddObject(const nlohmann::json& json, const std::string& path) {
-    for (const auto& item : json.items()) {
-      const std::string key =
-          path.empty() ? item.key() : absl::StrCat(path, ".", item.key());
-      if (IsListOfObjects(item.value())) {
-        this->AddList(item.value(), item.key(), key);
-      } else {
-        this->AddLeaf(key, item.value());
-      }
+using Services = absl::flat_hash_map<std::string, const schema::ServiceRule*>;
+
+Services ServicesOf(const ParsedFile* file) {
+  Services services;
+  if (file != nullptr) {
+    for (const schema::ServiceRule& service : file->content.services) {
+      services.emplace(service.name, &service);
     }
   }
+  return services;
+}
 
- private:
-  void AddLeaf(const std::string& path, const nlohmann::json& value) {
-    this->out->leaves[path] = {this->service, this->operation, Dump(value)};
+// The content without the services that are the same in `other`: parsing the
+// whole text again costs several times as much as checking the folder.
+FileTree ReducedTree(const ParsedFile& file, const ParsedFile* other) {
+  FileTree tree = {file.name, file.member, {{"member", file.member}}};
+  for (const schema::Approval& approval : file.content.approves) {
+    tree.json["approves"].push_back(
+        {{"member", approval.member}, {"order", approval.order}});
   }
-
-  // Names replace positions in paths, so that an entry added in front does
-  // not change the paths of all the others.
-  void AddList(const nlohmann::json& list,
-               const std::string& list_key,
-               const std::string& path) {
-    for (size_t index = 0; index < list.size(); ++index) {
-      std::string name = NameOf(list[index]);
-      if (name.empty()) {
-        name = absl::StrCat(index);
-      }
-      std::string key = absl::StrCat(path, "[", name, "]");
-      while (this->keys[key]++ > 0) {
-        absl::StrAppend(&key, "#", index);
-      }
-      if (!list[index].is_object()) {
-        this->AddLeaf(key, list[index]);
-        continue;
-      }
-      std::string* scope = list_key == "services"     ? &this->service
-                           : list_key == "operations" ? &this->operation
-                                                      : nullptr;
-      if (scope != nullptr) {
-        *scope = name;
-      }
-      this->AddObject(list[index], key);
-      if (scope != nullptr) {
-        scope->clear();
-      }
+  const Services others = ServicesOf(other);
+  for (const schema::ServiceRule& service : file.content.services) {
+    const auto same = others.find(service.name);
+    if (same == others.end() || *same->second != service) {
+      tree.json["services"].push_back(ToJson(service));
     }
   }
+  return tree;
+}
 
-  FlatFile* out;
-  std::string service;
-  std::string operation;
-  std::map<std::string, int> keys;
-};
-
-FlatFile Flatten(const std::string& name, const std::string& text) {
-  FlatFile flat;
-  flat.name = name;
-  nlohmann::json json;
-  schema::SettingsErrors ignored;
-  if (!schema::ParseJson(name, text, &json, &ignored) || !json.is_object()) {
-    flat.leaves[""] = {"", "", Summary(text)};
-    return flat;
-  }
-  if (json.contains("member") && json["member"].is_string()) {
-    flat.member = json["member"].get<std::string>();
-  }
-  Flattener(&flat).AddObject(json, "");
-  return flat;
+void DiffFile(const FilePair& pair, std::vector<Change>* changes) {
+  const bool valid = IsValid(pair.from) && IsValid(pair.to);
+  const auto tree_of = [&](const ParsedFile* file, const ParsedFile* other) {
+    if (file == nullptr) {
+      return FileTree();
+    }
+    return valid ? ReducedTree(*file, other) : RawTree(*file);
+  };
+  const FileTree from = tree_of(pair.from, pair.to);
+  const FileTree to = tree_of(pair.to, pair.from);
+  DiffTrees(pair.from == nullptr ? nullptr : &from,
+            pair.to == nullptr ? nullptr : &to, changes);
 }
 
 // Files that differ, by member, or by file name if the member is unknown or
 // has two files.
-std::map<std::string, FlatFile> FlattenChanged(const Folder& folder,
-                                               const Folder& other) {
-  std::map<std::string, FlatFile> files;
-  for (const auto& [name, text] : folder) {
+std::map<std::string, const ParsedFile*> ChangedIn(const ParsedFolder& folder,
+                                                   const ParsedFolder& other) {
+  std::map<std::string, const ParsedFile*> files;
+  for (const auto& [name, file] : folder) {
     const auto same = other.find(name);
-    if (same != other.end() && same->second == text) {
+    if (same != other.end() &&
+        (same->second == file || same->second->text == file->text)) {
       continue;
     }
-    FlatFile flat = Flatten(name, text);
-    std::string key =
-        flat.member.empty() ? absl::StrCat("/", name) : flat.member;
-    if (files.count(key) > 0) {
-      key = absl::StrCat("/", name);
-    }
-    files.emplace(std::move(key), std::move(flat));
+    const std::string by_name = absl::StrCat("/", name);
+    const bool unique = !file->member.empty() && files.count(file->member) == 0;
+    files.emplace(unique ? file->member : by_name, file.get());
   }
   return files;
 }
 
-const Leaf* FindLeaf(const FlatFile& file, const std::string& path) {
-  const auto found = file.leaves.find(path);
-  return found == file.leaves.end() ? nullptr : &found->second;
-}
-
-void AddChange(const FlatFile& from,
-               const FlatFile& to,
-               const std::string& path,
-               std::vector<Change>* changes) {
-  const Leaf* old_leaf = FindLeaf(from, path);
-  const Leaf* new_leaf = FindLeaf(to, path);
-  if (old_leaf != nullptr && new_leaf != nullptr &&
-      old_leaf->value == new_leaf->value) {
-    return;
-  }
-  const Leaf& leaf = new_leaf != nullptr ? *new_leaf : *old_leaf;
-  Change change;
-  change.member = to.member.empty() ? from.member : to.member;
-  change.file = to.name.empty() ? from.name : to.name;
-  change.service = leaf.service;
-  change.operation = leaf.operation;
-  change.path = path;
-  change.old_value = old_leaf == nullptr ? "" : old_leaf->value;
-  change.new_value = new_leaf == nullptr ? "" : new_leaf->value;
-  changes->push_back(std::move(change));
-}
-
-void DiffFile(const FlatFile& from,
-              const FlatFile& to,
-              std::vector<Change>* changes) {
-  if (!from.name.empty() && !to.name.empty() && from.name != to.name) {
-    changes->push_back(
-        {to.member, to.name, "", "", "(file name)", from.name, to.name});
-  }
-  std::map<std::string, Leaf> paths = from.leaves;
-  paths.insert(to.leaves.begin(), to.leaves.end());
-  for (const auto& [path, leaf] : paths) {
-    AddChange(from, to, path, changes);
-  }
-}
-
 }  // namespace
 
-std::vector<Change> Diff(const Folder& from, const Folder& to) {
-  const std::map<std::string, FlatFile> old_files = FlattenChanged(from, to);
-  const std::map<std::string, FlatFile> new_files = FlattenChanged(to, from);
-  std::map<std::string, std::pair<const FlatFile*, const FlatFile*>> pairs;
-  for (const auto& [key, file] : old_files) {
-    pairs[key].first = &file;
+std::vector<Change> Diff(const ParsedFolder& from, const ParsedFolder& to) {
+  std::map<std::string, FilePair> pairs;
+  for (const auto& [key, file] : ChangedIn(from, to)) {
+    pairs[key].from = file;
   }
-  for (const auto& [key, file] : new_files) {
-    pairs[key].second = &file;
+  for (const auto& [key, file] : ChangedIn(to, from)) {
+    pairs[key].to = file;
   }
-  const FlatFile none;
   std::vector<Change> changes;
   for (const auto& [key, pair] : pairs) {
-    DiffFile(pair.first == nullptr ? none : *pair.first,
-             pair.second == nullptr ? none : *pair.second, &changes);
+    DiffFile(pair, &changes);
   }
   std::stable_sort(changes.begin(), changes.end(),
                    [](const Change& a, const Change& b) {
@@ -213,4 +128,9 @@
   return changes;
 }
 
+std::vector<Change> Diff(const Folder& from, const Folder& to) {
+  const ParsedFolder old_files = ParseFolder(from, {});
+  return Diff(old_files, ParseFolder(to, old_files));
+}
+
 }  // namespace boragepaddle::config
