--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -34,13 +34,17 @@
               this->incarnation,
               this->rules,
               this->contexts,
-              this->worker),
+              this->worker,
+              [this](const std::string& address) {
+                return this->hub.Connect(address);
+              }),
       control(
           settings,
           this->rules,
           [this] { return this->MakeHello(); },
           [this](const membership::VmList& list) {
             this->egress.SetUpstreams(list.vms);
+            this->ingress.SetVms(list.vms);
           }),
       router(this->ingress, this->attempts, this->control),
       hub([this] { return this->MakeHello(); }, this->router),
