--- a/src/boragepaddle/node/control.cc
+++ b/src/boragepaddle/node/control.cc
@@ -378,6 +378,10 @@
     std::visit(MessageHandler{this->context, event.from}, event.message);
   }
   void operator()(const PlatformConfig& event) {
+    // Revision 0 means that nothing was published yet.
+    if (event.revision == 0) {
+      return;
+    }
     const ConfigFolderPtr folder =
         dissemination::MakeFolder(event.revision, event.files);
     this->context.state.startup_answers += kReadyAnswers;
@@ -387,6 +391,9 @@
     }
   }
   void operator()(const PlatformList& event) {
+    if (event.revision == 0) {
+      return;
+    }
     const auto list = membership::MakeVmList(event.revision, event.vms);
     if (!list.has_value()) {
       Alarm(this->context, Payload::kList, list.error(), kPlatformSource);
--- a/tests/unit/control_test.cc
+++ b/tests/unit/control_test.cc
@@ -183,6 +183,16 @@
   CHECK(pump.alarms[victim][1].payload == Payload::kList);
 }
 
+// Guards against a false alarm from a platform that was just started.
+TEST_CASE("control: a platform without content is no conflict") {
+  ControlPump pump;
+  pump.AddNode("alone", "tamsui", {});
+  pump.Handle("alone", PlatformConfig());
+  pump.Handle("alone", PlatformList());
+  CHECK(pump.alarms.empty());
+  CHECK(pump.watching.count("alone") == 1);
+}
+
 // Guards against checking a refused version at every exchange.
 TEST_CASE("control: a refused version is checked once and replaced later") {
   ControlPump pump = MakeFleet(5);
