--- a/src/boragepaddle/daemon/message_router.cc
+++ b/src/boragepaddle/daemon/message_router.cc
@@ -7,11 +7,14 @@
 
 namespace boragepaddle::daemon {
 
-MessageRouter::MessageRouter(IngressServer& ingress, AttemptTable& attempts)
-    : ingress(ingress), attempts(attempts) {}
+MessageRouter::MessageRouter(IngressServer& ingress,
+                             AttemptTable& attempts,
+                             transport::PeerLinkHandler& control)
+    : ingress(ingress), attempts(attempts), control(control) {}
 
 void MessageRouter::OnOpen(const PeerLinkPtr& link) {
   this->ingress.OnLinkOpen(link);
+  this->control.OnOpen(link);
 }
 
 void MessageRouter::OnMessage(const PeerLinkPtr& link,
@@ -31,6 +34,8 @@
     this->ingress.OnCrashReport(link, *report);
   } else if (auto* ack = std::get_if<schema::CrashAck>(&message)) {
     this->ingress.OnCrashAck(link, *ack);
+  } else {
+    this->control.OnMessage(link, std::move(message));
   }
 }
 
@@ -42,6 +47,7 @@
   }
   this->attempts.OnLinkClosed(link->id());
   this->ingress.OnLinkClosed(link);
+  this->control.OnClosed(link);
 }
 
 }  // namespace boragepaddle::daemon
