--- a/src/boragepaddle/daemon/ingress_server.cc
+++ b/src/boragepaddle/daemon/ingress_server.cc
@@ -141,13 +141,15 @@
 
 void IngressServer::OnCrashReport(const PeerLinkPtr& link,
                                   const schema::CrashReport& report) {
+  node::IngressActions actions;
   {
     absl::MutexLock lock(&this->mutex);
-    node::OnCrashReport(this->state, report, MonotonicNow());
+    actions = node::OnCrashReport(this->state, report, MonotonicNow());
   }
   if (report.ack_id != 0) {
     link->Send(schema::CrashAck{report.ack_id});
   }
+  this->Perform(std::move(actions));
 }
 
 void IngressServer::OnCrashAck(const PeerLinkPtr& link,
--- a/src/boragepaddle/node/ingress.cc
+++ b/src/boragepaddle/node/ingress.cc
@@ -26,6 +26,11 @@
                                         const IngressCall& call,
                                         absl::Duration transit,
                                         absl::Time link_opened) {
+  // Also told by a node whose worker is down, so that the sender stops.
+  if (quarantine::Judge(state.quarantine, call.request.fingerprint,
+                        call.arrived) == quarantine::Verdict::kRefuse) {
+    return Reason::kQuarantined;
+  }
   if (state.leaving) {
     return Reason::kLeaving;
   }
--- a/src/boragepaddle/node/ingress.h
+++ b/src/boragepaddle/node/ingress.h
@@ -93,9 +93,9 @@
                               absl::Time now);
 
 /// Another node reported a crash.
-void OnCrashReport(IngressState& state,
-                   const schema::CrashReport& report,
-                   absl::Time now);
+IngressActions OnCrashReport(IngressState& state,
+                             const schema::CrashReport& report,
+                             absl::Time now);
 
 /// The sender no longer waits for the attempt.
 IngressActions OnCancel(IngressState& state, CallKey key, absl::Time now);
--- a/src/boragepaddle/node/ingress_crash.cc
+++ b/src/boragepaddle/node/ingress_crash.cc
@@ -173,11 +173,17 @@
   return actions;
 }
 
-void OnCrashReport(IngressState& state,
-                   const schema::CrashReport& report,
-                   absl::Time now) {
+IngressActions OnCrashReport(IngressState& state,
+                             const schema::CrashReport& report,
+                             absl::Time now) {
   NoteEvent(state.pause, now);
   quarantine::OnCrashReport(state.quarantine, report, now);
+  IngressActions actions;
+  // The reporter does not know which of the other workers are down.
+  if (state.worker == WorkerState::kDown) {
+    ReportHandOver(state, state.settings.vm_id, 0, now, actions);
+  }
+  return actions;
 }
 
 void TickCrashes(IngressState& state, absl::Time now, IngressActions& actions) {
--- a/src/boragepaddle/quarantine/quarantine.cc
+++ b/src/boragepaddle/quarantine/quarantine.cc
@@ -12,6 +12,9 @@
 
 // A request that crashes two workers is refused everywhere.
 constexpr uint32_t kRefusedCrashes = 2;
+// Ends the exchange when all workers of the service are down. The last runner
+// then runs the request when its worker is back.
+constexpr uint32_t kMaxHandovers = 16;
 
 /// The runner of a suspect, by its fingerprint, so that the suspects of one
 /// crash are spread over the service. The own VM if there is no other.
@@ -190,7 +193,7 @@
   for (auto& [fingerprint, suspect] : state.suspects) {
     const bool other_crash = crash_id != 0 && suspect.crash_id != crash_id;
     if (suspect.crashes >= kRefusedCrashes || suspect.runner != from_vm ||
-        other_crash) {
+        other_crash || suspect.handover >= kMaxHandovers) {
       continue;
     }
     ++suspect.handover;
--- a/tests/unit/ingress_property_test.cc
+++ b/tests/unit/ingress_property_test.cc
@@ -117,7 +117,7 @@
     report.crash_id = this->Pick(1000);
     report.runner = this->Pick(2) == 0 ? "a" : "b";
     report.expiry_us = 300000;
-    OnCrashReport(this->state, report, this->now);
+    this->Handle(OnCrashReport(this->state, report, this->now));
   }
 
   void Probe() {
--- a/tests/unit/ingress_session.cc
+++ b/tests/unit/ingress_session.cc
@@ -131,7 +131,7 @@
     if (event == "tick") {
       return OnTick(this->state, now);
     }
-    return this->Notice(words, now);
+    return this->Other(words, now);
   }
 
  private:
@@ -140,8 +140,7 @@
            absl::Milliseconds(milliseconds);
   }
 
-  /// Events that cause no actions.
-  IngressActions Notice(const Words& words, absl::Time now) {
+  IngressActions Other(const Words& words, absl::Time now) {
     if (words[1] == "link") {
       const int64_t sent = Number(words, "sent", Number(words[0]));
       OnLinkOpen(this->state, static_cast<uint64_t>(Number(words[2])),
@@ -156,7 +155,7 @@
       report.crash_id = static_cast<uint64_t>(Number(words, "id", 99));
       report.runner = Argument(words, "runner");
       report.expiry_us = 60'000'000;
-      OnCrashReport(this->state, report, now);
+      return OnCrashReport(this->state, report, now);
     }
     return {};
   }
--- a/tests/unit/ingress_test.cc
+++ b/tests/unit/ingress_test.cc
@@ -224,6 +224,23 @@
 )");
 }
 
+// Guards against innocent requests that are refused because their runner's
+// worker is down.
+TEST_CASE("ingress: a node with a lost worker hands suspects over at once") {
+  CheckSession(R"(node slots=1 peers=b,c
+0 call 1-1
+> run 1-1
+0 begin 1-1
+> begun
+1 end 1-1 not_sent
+> probe
+> answer 1-1 not-run worker-lost level=0
+2 probe down
+3 report body=p runner=a
+> report crash=0 crashes=1 runner=b handover=1
+)");
+}
+
 // Guards against queued work that runs although a report has come meanwhile.
 TEST_CASE("ingress: a report also stops a queued call") {
   CheckSession(R"(node slots=1
