--- a/emulator/load_main.cc
+++ b/emulator/load_main.cc
@@ -10,10 +10,11 @@
 
 DEFINE_string(plan, "", "JSON file with entries, phases and operations");
 DEFINE_string(output, "", "file for the results in JSON");
-DEFINE_string(ends,
-              "",
-              "file for one line per request: key, class, service.operation, "
-              "outcome, 1 if in time, attempts");
+DEFINE_string(
+    ends,
+    "",
+    "file for one line per request: key, phase, class, service.operation, "
+    "outcome, 1 if in time, attempts");
 
 namespace {
 
@@ -30,9 +31,10 @@
   std::ofstream file(path);
   for (const emulator::RequestEnd& end : output.ends) {
     const emulator::LoadOperation& operation = plan.operations[end.operation];
-    file << end.key << " " << operation.call_class << " " << operation.service
-         << "." << operation.operation << " " << emulator::ToString(end.outcome)
-         << " " << end.in_time << " " << end.attempts << "\n";
+    file << end.key << " " << plan.phases[end.phase].name << " "
+         << operation.call_class << " " << operation.service << "."
+         << operation.operation << " " << emulator::ToString(end.outcome) << " "
+         << end.in_time << " " << end.attempts << "\n";
   }
 }
 
--- a/emulator/load_run.cc
+++ b/emulator/load_run.cc
@@ -147,8 +147,8 @@
       outcome == ClientOutcome::kCompleted &&
       latency <= this->plan.operations[request.operation].deadline;
   absl::MutexLock lock(&this->mutex);
-  this->ends.push_back(
-      {request.key, request.operation, in_time, outcome, request.attempts});
+  this->ends.push_back({request.key, request.operation, request.phase, in_time,
+                        outcome, request.attempts});
   --this->open_requests;
 }
 
--- a/emulator/load_run.h
+++ b/emulator/load_run.h
@@ -27,6 +27,7 @@
 struct RequestEnd {
   std::string key;
   size_t operation = 0;
+  size_t phase = 0;
   /// Completed within the deadline after the scheduled arrival.
   bool in_time = false;
   ClientOutcome outcome = ClientOutcome::kUnknown;
--- a/tools/mesh/load.py
+++ b/tools/mesh/load.py
@@ -11,6 +11,7 @@
 @dataclasses.dataclass
 class RequestEnd:
     """End of one request for its client."""
+    phase: str
     call_class: str
     operation: str
     outcome: str
@@ -44,8 +45,8 @@
     ends = {}
     with open(path, encoding="utf-8") as file:
         for line in file:
-            key, call_class, operation, outcome, in_time, attempts = line.split()
-            ends[key] = RequestEnd(call_class, operation, outcome, in_time == "1",
+            key, phase, call_class, operation, outcome, in_time, attempts = line.split()
+            ends[key] = RequestEnd(phase, call_class, operation, outcome, in_time == "1",
                                    int(attempts))
     return ends
 
