--- a/src/boragepaddle/transport/http_listener.cc
+++ b/src/boragepaddle/transport/http_listener.cc
@@ -27,6 +27,12 @@
 /// True on a thread that serves a connection beyond the limit.
 thread_local bool serving_overflow = false;
 
+/// True once the request on this thread was parsed and answered by us.
+thread_local bool answered_by_handler = false;
+
+/// True if the handler asked to close the connection after its answer.
+thread_local bool close_after_answer = false;
+
 /// Hands connections to the main pool, or to the overflow pool if that is full.
 class ConnectionQueue : public httplib::TaskQueue {
  public:
@@ -55,6 +61,10 @@
 
 void FillResponse(const HttpReply& reply, httplib::Response& response) {
   response.status = static_cast<int>(reply.status);
+  if (reply.close_connection) {
+    response.set_header("Connection", "close");
+    close_after_answer = true;
+  }
   for (const HttpHeader& header : reply.headers) {
     response.set_header(header.name, header.value);
   }
@@ -84,6 +94,10 @@
         [this](const httplib::Request& request, httplib::Response& response) {
           return this->Refuse(request, response);
         });
+    this->set_error_handler(
+        [this](const httplib::Request& request, httplib::Response& response) {
+          this->CompleteMalformed(request, response);
+        });
     const auto serve = [this](const httplib::Request& request,
                               httplib::Response& response) {
       this->Serve(request, response);
@@ -134,7 +148,9 @@
   }
 
   void ServeConnection(socket_t fd) {
-    HttpStream stream(fd, this->settings.io_timeout);
+    HttpStream stream(
+        fd, {this->settings.io_timeout, this->settings.request_timeout,
+             this->settings.max_head_bytes + this->settings.max_body_bytes});
     while (!this->stopping) {
       this->SetIdle(fd, true);
       const bool readable = stream.WaitForRequest(this->settings.idle_timeout);
@@ -143,9 +159,13 @@
         return;
       }
       bool closed = false;
+      answered_by_handler = false;
+      close_after_answer = false;
       const auto setup = [](httplib::Request&) {};
       if (!this->process_request(stream, serving_overflow, closed, setup) ||
-          closed || serving_overflow) {
+          closed || serving_overflow || close_after_answer ||
+          !answered_by_handler) {
+        // The rest of a malformed request must not be read as the next one.
         return;
       }
     }
@@ -156,11 +176,24 @@
     if (!serving_overflow) {
       return HandlerResponse::Unhandled;
     }
+    answered_by_handler = true;
     FillResponse(this->settings.overflow_reply, response);
     return HandlerResponse::Handled;
   }
 
+  /// Adds the headers that callers rely on to answers of cpp-httplib.
+  void CompleteMalformed(const httplib::Request& /*request*/,
+                         httplib::Response& response) {
+    if (answered_by_handler) {
+      return;
+    }
+    for (const HttpHeader& header : this->settings.malformed_reply.headers) {
+      response.set_header(header.name, header.value);
+    }
+  }
+
   void Serve(const httplib::Request& request, httplib::Response& response) {
+    answered_by_handler = true;
     HttpCall call;
     call.method = request.method;
     call.path = request.path;
