--- a/src/boragepaddle/admission/admission.cc
+++ b/src/boragepaddle/admission/admission.cc
@@ -62,14 +62,22 @@
   return absl::nullopt;
 }
 
+/// Never less than one service time: with long calls and few slots, a demand
+/// that fits waits about that long for a free slot.
+absl::Duration Target(const AdmissionCall& call) {
+  return std::max(call.queue_target, call.min_service);
+}
+
 /// A burst may wait for the burst time. Once the queue stands for longer, the
-/// target applies, but never less than one service time: with long calls and
-/// few slots, a demand that fits waits about that long for a free slot.
+/// target applies to bulk work, and twice as much to each more important
+/// class. With one target for all, a member demand of 75% of the capacity had
+/// 5% of its calls shed, since its queue is seldom empty for long.
 absl::Duration AllowedWait(const AdmissionState& state,
                            const AdmissionCall& call,
                            absl::Time now) {
   const size_t index = Index(call.call_class);
-  const absl::Duration target = std::max(call.queue_target, call.min_service);
+  const int factor = 1 << (kCallClassCount - 1 - index);
+  const absl::Duration target = Target(call) * factor;
   const bool standing = now - state.empty_at[index] > state.settings.burst;
   return standing ? target : std::max(target, state.settings.burst);
 }
@@ -162,7 +170,8 @@
   return true;
 }
 
-/// Cancels running work for calls that have waited for half of the target.
+/// Cancels running work for calls that have waited for the target. Earlier
+/// cancels would waste work that is about to end.
 void CancelForWaiting(AdmissionState& state,
                       absl::Time now,
                       AdmissionActions& actions) {
@@ -172,7 +181,7 @@
   uint32_t waiting = 0;
   for (size_t index = 0; index + 1 < kCallClassCount; ++index) {
     for (const AdmissionCall& call : state.queues[index]) {
-      if (now - call.arrived < call.queue_target / 2) {
+      if (now - call.arrived < Target(call)) {
         continue;
       }
       ++waiting;
--- a/src/boragepaddle/daemon/ingress_server.cc
+++ b/src/boragepaddle/daemon/ingress_server.cc
@@ -24,8 +24,11 @@
 // Reports go to at most a few dozen VMs of the service; cancels and probes are
 // short.
 constexpr size_t kControlThreads = 16;
-// A service with few slots still gets a queue that can hold a burst.
-constexpr uint32_t kLeastQueue = 8;
+// The queue holds two calls a slot, so that a call waits for at most about two
+// service times. With few slots, a demand of 75% of the capacity needs room
+// for 16 calls to have under 1% of them find the queue full.
+constexpr uint32_t kQueuePerSlot = 2;
+constexpr uint32_t kLeastQueue = 16;
 
 node::IngressSettings ToIngressSettings(const schema::NodeSettings& settings,
                                         uint64_t incarnation) {
@@ -34,7 +37,7 @@
   result.service = settings.service;
   result.incarnation = incarnation;
   result.slots = settings.slots;
-  result.max_queue = std::max(kLeastQueue, settings.slots);
+  result.max_queue = std::max(kLeastQueue, kQueuePerSlot * settings.slots);
   result.worker_accepts_cancel = settings.worker_accepts_cancel;
   const int filled = RAND_bytes(result.ticket_secret.data(),
                                 static_cast<int>(result.ticket_secret.size()));
