--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -14,15 +14,26 @@
 
 constexpr size_t kOperatorConnections = 32;
 constexpr uint32_t kStatusUnavailable = 503;
+constexpr uint32_t kStatusBadRequest = 400;
 
 transport::HttpListenerSettings ListenerSettings(size_t max_connections) {
   transport::HttpListenerSettings settings;
   settings.max_connections = max_connections;
   settings.overflow_reply =
       NotRunReply(schema::Reason::kTooManyConnections, kStatusUnavailable);
+  settings.malformed_reply =
+      NotRunReply(schema::Reason::kBadRequest, kStatusBadRequest);
   return settings;
 }
 
+node::EgressSettings ToEgressSettings(const schema::NodeSettings& settings) {
+  node::EgressSettings result;
+  result.locality = {settings.availability_zone, settings.region,
+                     settings.vm_id};
+  result.policy = node::ParseEgressPolicy(settings.policy);
+  return result;
+}
+
 }  // namespace
 
 NodeDaemon::NodeDaemon(const schema::NodeSettings& settings)
@@ -48,9 +59,7 @@
           }),
       router(this->ingress, this->attempts, this->control),
       hub([this] { return this->MakeHello(); }, this->router),
-      egress({settings.availability_zone, settings.region},
-             this->hub,
-             this->attempts),
+      egress(ToEgressSettings(settings), this->hub, this->attempts),
       callers(this->rules, this->contexts, this->egress, this->call_metrics),
       caller_listener(ListenerSettings(settings.max_connections),
                       [this](const transport::HttpCall& http) {
@@ -102,11 +111,12 @@
     return;
   }
   this->ingress.StartLeaving();
+  this->callers.StartLeaving();
   this->hub.Broadcast(schema::Leaving{this->settings.vm_id, this->incarnation});
 }
 
 bool NodeDaemon::IsDrained() {
-  return this->ingress.IsDrained() && this->callers.active() == 0;
+  return this->ingress.IsDrained() && this->callers.IsDrained();
 }
 
 std::string NodeDaemon::DescribeWorkInFlight() {
