--- a/src/boragepaddle/daemon/caller_service.cc
+++ b/src/boragepaddle/daemon/caller_service.cc
@@ -144,6 +144,7 @@
   call.rule = target->rule;
   call.body = http.body;
   call.child = true;
+  call.depth = context->child_depth;
   call.request_id = context->request_id;
   call.call_class = context->call_class;
   call.tokens = context->tokens;
--- a/src/boragepaddle/daemon/message_router.cc
+++ b/src/boragepaddle/daemon/message_router.cc
@@ -24,12 +24,16 @@
   } else if (auto* answer = std::get_if<schema::CallAnswer>(&message)) {
     // A late answer finds no waiting attempt and is dropped.
     this->attempts.OnAnswer(link->id(), std::move(*answer));
-  } else if (auto* ticket = std::get_if<schema::TicketRequest>(&message)) {
-    this->ingress.OnTicketRequest(link, *ticket);
   } else if (auto* cancel = std::get_if<schema::CancelCall>(&message)) {
     this->ingress.OnCancel(link, *cancel);
   } else if (auto* grant = std::get_if<schema::TicketGrant>(&message)) {
     this->attempts.OnGrant(link->id(), std::move(*grant));
+  } else if (auto* ticket = std::get_if<schema::TicketRequest>(&message)) {
+    this->ingress.OnTicketRequest(link, *ticket);
+  } else if (auto* report = std::get_if<schema::CrashReport>(&message)) {
+    this->ingress.OnCrashReport(link, *report);
+  } else if (auto* ack = std::get_if<schema::CrashAck>(&message)) {
+    this->ingress.OnCrashAck(link, *ack);
   } else {
     this->control.OnMessage(link, std::move(message));
   }
