--- a/src/boragepaddle/node/egress.cc
+++ b/src/boragepaddle/node/egress.cc
@@ -114,6 +114,8 @@
     case Reason::kWorkerLost:
     case Reason::kTableFull:
     case Reason::kTooManyConnections:
+    case Reason::kCrashSuspect:
+    case Reason::kPaused:
       return true;
     default:
       return false;
