--- a/emulator/load_request.h
+++ b/emulator/load_request.h
@@ -36,8 +36,9 @@
   absl::Time arrival;
   size_t attempts = 0;
   std::string ticket;
-  /// Some attempt ended unknown, so the request may have run.
-  bool may_have_run = false;
+  /// Outcome of the last attempt after which the request may have run;
+  /// kNotRun if there is none.
+  ClientOutcome earlier = ClientOutcome::kNotRun;
   size_t next_entry = 0;
 };
 
--- a/emulator/load_run.cc
+++ b/emulator/load_run.cc
@@ -103,15 +103,14 @@
     outcome = ClientOutcome::kLate;
   }
   this->recorder.OnAttempt(request, outcome, attempt.reason, attempt.latency);
-  request.may_have_run =
-      request.may_have_run || outcome == ClientOutcome::kUnknown;
+  // A resend that was not run does not undo what an earlier attempt ran.
+  if (outcome != ClientOutcome::kNotRun) {
+    request.earlier = outcome;
+  }
   if (!this->MayResend(request, outcome)) {
-    if (outcome == ClientOutcome::kNotRun && request.may_have_run) {
-      outcome = ClientOutcome::kUnknown;
-    }
-    return this->End(request, outcome);
+    return this->End(request, request.earlier);
   }
-  if (outcome == ClientOutcome::kNotRun && !request.may_have_run) {
+  if (request.earlier == ClientOutcome::kNotRun) {
     // Nothing ran under the ticket, so another upstream may be asked.
     request.ticket.clear();
   }
--- a/tools/measure/overload.py
+++ b/tools/measure/overload.py
@@ -20,6 +20,10 @@
 from mesh.mesh import Mesh  # noqa: E402
 
 POLICIES = ["off", "per_hop_retries", "full"]
+# Without protection, a node passes everything to its worker, which queues it
+# and needs a connection for each queued request.
+UNLIMITED_SLOTS = 10000
+UNLIMITED_CONNECTIONS = 4000
 FACTORS = [0.5, 1.0, 2.0, 5.0, 10.0]
 
 
@@ -45,9 +49,18 @@
         "recovery_s": results["recovery_s"].get(name)}
 
 
+def node_settings(policy):
+    if policy == "full":
+        return {"policy": policy}
+    return {"policy": policy, "slots": UNLIMITED_SLOTS}
+
+
 def measure(policy, factor):
     topology, config_files = overload_topology()
-    with Mesh(topology, config_files, {"policy": policy},
+    if policy != "full":
+        for service in topology.services:
+            service.behaviour = {"connections": UNLIMITED_CONNECTIONS}
+    with Mesh(topology, config_files, node_settings(policy),
               link_rules=zone_latencies()) as mesh:
         results, ends = run_load(mesh, "overload", overload_plan(mesh, factor))
         roots = root_executions(mesh)
@@ -74,6 +87,8 @@
         "repeated_at_most_once": len(repeated),
         "connections": results["connections_opened"],
         "max_send_delay_ms": round(results["max_send_delay_ms"], 1),
+        "reasons": {f"{item['class']}/{item['outcome']}/{item['reason']}": item["attempts"]
+                    for item in results["reasons"] if item["outcome"] != "completed"},
         "classes": {name: class_row(results, name) for name in CLASSES
                     if class_row(results, name)}}
 
@@ -84,7 +99,7 @@
         if name in row["classes"] else f"{'-':>10}" for name in CLASSES)
     recovery = "none" if row["recovery_s"] is None else f"{row['recovery_s']:.1f}"
     return (f"{row['policy']:16}{row['factor']:>6}{row['goodput_per_s']:>10}"
-            f"{row['goodput_work_per_s']:>8}{shares}{recovery:>10}"
+            f"{row['goodput_work_per_s']:>8}{shares}{recovery:>12}"
             f"{row['executions_per_completed']:>11}{row['wasted_share']:>8.1%}"
             f"{row['inversions']:>11}{row['sheds']:>9}{row['false_not_run']:>7}"
             f"{row['repeated_at_most_once']:>7}")
@@ -93,7 +108,7 @@
 def header():
     return (f"{'policy':16}{'factor':>6}{'goodput/s':>10}{'work/s':>8}"
             + "".join(f"{name:>10}" for name in CLASSES)
-            + f"{'recovery s':>10}{'exec/compl':>11}{'wasted':>8}{'inversions':>11}"
+            + f"{'recovery s':>12}{'exec/compl':>11}{'wasted':>8}{'inversions':>11}"
             f"{'sheds':>9}{'false':>7}{'twice':>7}")
 
 
@@ -102,10 +117,14 @@
     parser.add_argument("--policies", nargs="+", default=POLICIES)
     parser.add_argument("--factors", nargs="+", type=float, default=FACTORS)
     parser.add_argument("--no-record", action="store_true", help="do not append the rows")
+    parser.add_argument("--reasons", action="store_true",
+                        help="print the attempts that failed, by reason")
     arguments = parser.parse_args()
     topology, _ = overload_topology()
     print(f"capacity {sum(capacity_rates(topology).values()):.0f} requests/s, of which the "
           f"member class needs {member_share(topology):.1%} of the busiest service")
+    print("share of offered requests that completed in time, by class; work/s is slot time "
+          "of completed requests per second")
     print(header(), flush=True)
     for factor in arguments.factors:
         for policy in arguments.policies:
@@ -113,6 +132,9 @@
             if not arguments.no_record:
                 rows.append("overload", row)
             print(describe(row), flush=True)
+            if arguments.reasons:
+                for reason, attempts in sorted(row["reasons"].items()):
+                    print(f"    {reason:50}{attempts:>9}")
     return 0
 
 
--- a/tools/measure/overload_mesh.py
+++ b/tools/measure/overload_mesh.py
@@ -6,7 +6,7 @@
 from mesh.two_members import two_members
 
 SLOT_SHARE = 0.1
-SERVICE_MS = 20.0
+SERVICE_MS = 60.0
 BASE_FACTOR = 0.5
 BEFORE_S = 4.0
 TRIGGER_S = 6.0
