--- a/src/boragepaddle/admission/admission.h
+++ b/src/boragepaddle/admission/admission.h
@@ -29,8 +29,10 @@
   uint32_t max_queue = 64;
   /// A queue that exists for longer is overload, not a burst.
   absl::Duration burst = absl::Milliseconds(100);
-  /// Less important classes stay refused for this long after a shed call.
-  absl::Duration refusal_hold = absl::Milliseconds(100);
+  /// Less important classes stay refused for this long after a shed call. Not
+  /// shorter than routing::kGateMemory: an entry node may refuse the class by
+  /// itself for that long, and then this node does not see those calls.
+  absl::Duration refusal_hold = absl::Milliseconds(300);
   QueueOrder order = QueueOrder::kAdaptive;
   /// Running idempotent calls may be cancelled for more important ones.
   bool worker_accepts_cancel = false;
