--- a/src/boragepaddle/node/control.cc
+++ b/src/boragepaddle/node/control.cc
@@ -194,6 +194,9 @@
   dissemination::NoteHeld(state.list_channel, {list->version, list->digest});
   context.actions.push_back(InstallList{list});
   UpdateReaderRank(state);
+  if (previous->version == 0) {
+    PlanPlatformRead(state, context.now, context.random);
+  }
   PassOn(context, Payload::kList, origin, previous->version);
 }
 
--- a/src/boragepaddle/node/control_exchange.cc
+++ b/src/boragepaddle/node/control_exchange.cc
@@ -73,6 +73,8 @@
   return true;
 }
 
+}  // namespace
+
 void PlanPlatformRead(ControlState& state, absl::Time now, uint64_t random) {
   const auto members =
       state.zones.members.find(state.settings.availability_zone);
@@ -85,8 +87,6 @@
       now + RandomPart(window, Derive(random, "platform"));
 }
 
-}  // namespace
-
 void StartExchange(ControlState& state,
                    absl::Time now,
                    uint64_t random,
@@ -100,7 +100,6 @@
   // The random phase keeps the exchanges of a fleet apart.
   state.exchange.next =
       now + kStartupInterval + RandomPart(kStartupInterval, random);
-  PlanPlatformRead(state, now, random);
   state.startup_watch_at = now;
   if (!seeds.empty()) {
     state.startup_watch_at += kStartupWatchDelay;
--- a/src/boragepaddle/node/control_exchange.h
+++ b/src/boragepaddle/node/control_exchange.h
@@ -27,6 +27,10 @@
                       uint64_t random,
                       ControlActions& actions);
 
+/// Plans the next read by a node that is not a reader; needs the list, because
+/// the rate of a zone is shared by its VMs.
+void PlanPlatformRead(ControlState& state, absl::Time now, uint64_t random);
+
 /// Opens or closes the watches: readers keep them open, and other nodes while
 /// they lack a configuration or a list.
 void UpdateWatch(ControlState& state, absl::Time now, ControlActions& actions);
--- a/tests/unit/control_test.cc
+++ b/tests/unit/control_test.cc
@@ -96,6 +96,15 @@
   CHECK(pump.Lacking(2) == 0);
 }
 
+// Guards the platform's read limit at the start of a fleet: the reads of the
+// non-readers were not spread over the zone before the list was known.
+TEST_CASE("control: started nodes share the read rate of their zone") {
+  ControlPump pump = MakeFleet(100);
+  pump.Run(absl::Seconds(4));
+  // Three zones with one read in 2 s each make 6 on average.
+  CHECK(pump.reading.size() <= 12);
+}
+
 // Guards R8: neither late deltas nor a stale platform may undo a change.
 TEST_CASE("control: late deltas and stale answers never revert a version") {
   ControlPump pump = MakeFleet(10);
