--- a/emulator/load_run.cc
+++ b/emulator/load_run.cc
@@ -103,15 +103,14 @@
     outcome = ClientOutcome::kLate;
   }
   this->recorder.OnAttempt(request, outcome, attempt.reason, attempt.latency);
-  request.may_have_run =
-      request.may_have_run || outcome == ClientOutcome::kUnknown;
+  // A resend that was not run does not undo what an earlier attempt ran.
+  if (outcome != ClientOutcome::kNotRun) {
+    request.earlier = outcome;
+  }
   if (!this->MayResend(request, outcome)) {
-    if (outcome == ClientOutcome::kNotRun && request.may_have_run) {
-      outcome = ClientOutcome::kUnknown;
-    }
-    return this->End(request, outcome);
+    return this->End(request, request.earlier);
   }
-  if (outcome == ClientOutcome::kNotRun && !request.may_have_run) {
+  if (request.earlier == ClientOutcome::kNotRun) {
     // Nothing ran under the ticket, so another upstream may be asked.
     request.ticket.clear();
   }
@@ -141,10 +140,14 @@
 }
 
 void LoadRun::End(const LoadRequest& request, ClientOutcome outcome) {
-  this->recorder.OnEnd(request, outcome, absl::Now() - request.arrival);
-  const std::string& name = this->plan.operations[request.operation].call_class;
+  const absl::Duration latency = absl::Now() - request.arrival;
+  this->recorder.OnEnd(request, outcome, latency);
+  const bool in_time =
+      outcome == ClientOutcome::kCompleted &&
+      latency <= this->plan.operations[request.operation].deadline;
   absl::MutexLock lock(&this->mutex);
-  this->ends.push_back({request.key, name, outcome, request.attempts});
+  this->ends.push_back({request.key, request.operation, request.phase, in_time,
+                        outcome, request.attempts});
   --this->open_requests;
 }
 
