--- a/tests/perf/ingress_benchmark.cc
+++ b/tests/perf/ingress_benchmark.cc
@@ -29,7 +29,7 @@
 }
 
 /// One arrival, hand-over and end while other calls run or wait.
-void BM_ArrivalToEnd(benchmark::State& run) {
+void BenchmarkArrivalToEnd(benchmark::State& run) {
   const auto others = static_cast<uint32_t>(run.range(0));
   IngressState state = MakeNode(others + 1);
   CallRule rule;
@@ -49,15 +49,15 @@
     benchmark::DoNotOptimize(OnWorkerEnd(state, key, answer, 0, now));
   }
 }
-BENCHMARK(BM_ArrivalToEnd)->Arg(1)->Arg(64)->Arg(960);
+BENCHMARK(BenchmarkArrivalToEnd)->Arg(1)->Arg(64)->Arg(960);
 
 /// A refused arrival at a full queue.
-void BM_Refusal(benchmark::State& run) {
+void BenchmarkRefusal(benchmark::State& run) {
   const auto queued = static_cast<uint32_t>(run.range(0));
   IngressState state = MakeNode(queued);
   CallRule rule;
   uint64_t attempt = 1;
-  for (; attempt <= 2 * queued; ++attempt) {
+  for (; attempt <= uint64_t{2} * queued; ++attempt) {
     OnCallRequest(state, 1, MakeRequest(attempt), rule, kNow);
   }
   for (auto _ : run) {
@@ -65,10 +65,10 @@
         OnCallRequest(state, 1, MakeRequest(++attempt), rule, kNow));
   }
 }
-BENCHMARK(BM_Refusal)->Arg(1)->Arg(64)->Arg(960);
+BENCHMARK(BenchmarkRefusal)->Arg(1)->Arg(64)->Arg(960);
 
 /// A repeat that finds its answer; most of the time is the hash.
-void BM_TicketLookup(benchmark::State& run) {
+void BenchmarkTicketLookup(benchmark::State& run) {
   execution::TableSettings settings;
   settings.vm_id = "vm-1";
   auto table = execution::MakeTable(settings, execution::TicketSecret());
@@ -84,9 +84,9 @@
     benchmark::DoNotOptimize(execution::Begin(table, tickets[at], 1, {}, kNow));
   }
 }
-BENCHMARK(BM_TicketLookup)->Arg(1000)->Arg(10000)->Arg(100000);
+BENCHMARK(BenchmarkTicketLookup)->Arg(1000)->Arg(10000)->Arg(100000);
 
-void BM_IssueTicket(benchmark::State& run) {
+void BenchmarkIssueTicket(benchmark::State& run) {
   execution::TableSettings settings;
   settings.vm_id = "vm-1";
   auto table = execution::MakeTable(settings, execution::TicketSecret());
@@ -94,9 +94,9 @@
     benchmark::DoNotOptimize(execution::IssueTicket(table, kNow));
   }
 }
-BENCHMARK(BM_IssueTicket);
+BENCHMARK(BenchmarkIssueTicket);
 
-void BM_QuarantineLookup(benchmark::State& run) {
+void BenchmarkQuarantineLookup(benchmark::State& run) {
   quarantine::QuarantineState state;
   std::vector<uint64_t> fingerprints;
   for (int64_t at = 0; at < run.range(0); ++at) {
@@ -109,7 +109,7 @@
     benchmark::DoNotOptimize(quarantine::Judge(state, fingerprint, kNow));
   }
 }
-BENCHMARK(BM_QuarantineLookup)->Arg(0)->Arg(110)->Arg(4096);
+BENCHMARK(BenchmarkQuarantineLookup)->Arg(0)->Arg(110)->Arg(4096);
 
 }  // namespace
 }  // namespace boragepaddle::node
--- a/tests/unit/admission_order_test.cc
+++ b/tests/unit/admission_order_test.cc
@@ -48,7 +48,7 @@
       this->now += kStep;
       this->Finish();
       for (double left = chance; left > 0; left -= 1.0) {
-        if (this->random() % 1000 < left * 1000) {
+        if (static_cast<double>(this->random() % 1000) < left * 1000) {
           this->Arrive();
         }
       }
