--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -113,6 +113,8 @@
   this->ingress.StartLeaving();
   this->callers.StartLeaving();
   this->hub.Broadcast(schema::Leaving{this->settings.vm_id, this->incarnation});
+  // Callers that cannot connect know that nothing was run.
+  this->caller_listener.StopAccepting();
 }
 
 bool NodeDaemon::IsDrained() {
--- a/src/boragepaddle/daemon/rule_book.cc
+++ b/src/boragepaddle/daemon/rule_book.cc
@@ -71,6 +71,7 @@
   rule.retry_on_unknown =
       operation.rule.retry_on_unknown && operation.idempotent_closure;
   rule.retry_tokens = operation.rule.retry_tokens;
+  rule.calls_others = !operation.rule.calls.empty();
   rule.deadline = absl::Milliseconds(operation.rule.deadline_ms);
   rule.retry_ratio_percent = service.retry_ratio_percent;
   rule.queue_target = absl::Milliseconds(service.queue_target_ms);
--- a/src/boragepaddle/node/call_rule.h
+++ b/src/boragepaddle/node/call_rule.h
@@ -17,6 +17,8 @@
   /// configuration allows this only if all operations below are idempotent.
   bool retry_on_unknown = false;
   uint32_t retry_tokens = 0;
+  /// The operation makes calls of its own, so it can use retry tokens.
+  bool calls_others = true;
   absl::Duration deadline = absl::Seconds(2);
   uint32_t retry_ratio_percent = 10;
   absl::Duration queue_target = absl::Milliseconds(20);
--- a/src/boragepaddle/node/egress_request.cc
+++ b/src/boragepaddle/node/egress_request.cc
@@ -46,7 +46,9 @@
   call.current_vm = vm.vm_id;
   call.tried.push_back(vm.vm_id);
   call.sent_at = now;
-  call.delegated = retry::Delegate(call.tokens);
+  // Tokens sent to an operation that makes no calls would be lost with the
+  // answer, without any use.
+  call.delegated = call.rule.calls_others ? retry::Delegate(call.tokens) : 0;
   SendAttempt send;
   send.upstream = vm;
   send.request = MakeRequest(call, now);
--- a/src/boragepaddle/routing/pick.cc
+++ b/src/boragepaddle/routing/pick.cc
@@ -40,10 +40,9 @@
 }
 
 double Cost(const RouteTable& table, const Upstream& upstream, absl::Time now) {
-  const absl::Duration measured = upstream.delay == absl::ZeroDuration()
-                                      ? table.typical_delay
-                                      : upstream.delay;
-  const double delay = absl::ToDoubleSeconds(std::max(measured, kLeastDelay));
+  const absl::Duration expected =
+      ExpectedDelay(upstream, table.typical_delay, now);
+  const double delay = absl::ToDoubleSeconds(std::max(expected, kLeastDelay));
   return delay * (upstream.in_flight + 1) *
          (1 + kTroubleFactor * CurrentTrouble(upstream, now));
 }
--- a/src/boragepaddle/routing/route_table.cc
+++ b/src/boragepaddle/routing/route_table.cc
@@ -121,8 +121,12 @@
                                       : mean + kDelayShare * (sample - mean);
 }
 
-void AddDelay(RouteTable& table, Upstream& upstream, absl::Duration sample) {
+void AddDelay(RouteTable& table,
+              Upstream& upstream,
+              absl::Duration sample,
+              absl::Time now) {
   Average(sample, upstream.delay);
+  upstream.delay_at = now;
   Average(sample, table.typical_delay);
   upstream.slow_delay =
       std::max(sample, upstream.slow_delay +
@@ -295,7 +299,7 @@
                     answer.status < kFirstServerError;
   // A refusal or an error is fast; its time must not attract calls.
   if (good) {
-    AddDelay(table, *upstream, now - sent_at);
+    AddDelay(table, *upstream, now - sent_at, now);
   } else {
     AddTrouble(*upstream, now);
   }
--- a/src/boragepaddle/routing/upstream.cc
+++ b/src/boragepaddle/routing/upstream.cc
@@ -17,6 +17,9 @@
 constexpr absl::Duration kLeastSilence = absl::Milliseconds(100);
 constexpr int kSilenceFactor = 3;
 constexpr absl::Duration kTroubleHalfLife = absl::Milliseconds(250);
+// A node that was frozen answers late once; without fading, its measured delay
+// kept it out of use although it worked again.
+constexpr absl::Duration kDelayHalfLife = absl::Milliseconds(500);
 
 bool LevelIsRecent(const Upstream& upstream,
                    schema::CallClass call_class,
@@ -48,11 +51,21 @@
 }
 
 double SlowStartWeight(const Upstream& upstream, absl::Time now) {
-  const double share =
-      absl::FDivDuration(now - upstream.started, kSlowStart);
+  const double share = absl::FDivDuration(now - upstream.started, kSlowStart);
   return std::min(1.0, std::max(kLeastWeight, share));
 }
 
+absl::Duration ExpectedDelay(const Upstream& upstream,
+                             absl::Duration typical,
+                             absl::Time now) {
+  if (upstream.delay == absl::ZeroDuration()) {
+    return typical;
+  }
+  const double age =
+      absl::FDivDuration(now - upstream.delay_at, kDelayHalfLife);
+  return typical + (upstream.delay - typical) * std::exp2(-std::max(age, 0.0));
+}
+
 double CurrentTrouble(const Upstream& upstream, absl::Time now) {
   if (upstream.trouble <= 0) {
     return 0;
--- a/src/boragepaddle/routing/upstream.h
+++ b/src/boragepaddle/routing/upstream.h
@@ -31,6 +31,7 @@
   absl::Time last_progress = absl::InfinitePast();
   /// Mean time of completed attempts; zero if none completed.
   absl::Duration delay;
+  absl::Time delay_at = absl::InfinitePast();
   /// Slowest recent attempt; decays with each faster one.
   absl::Duration slow_delay;
   /// Share of recent attempts that were refused or failed, as of `trouble_at`.
@@ -66,6 +67,12 @@
 /// Share of the normal load that the upstream should get, in (0, 1].
 double SlowStartWeight(const Upstream& upstream, absl::Time now);
 
+/// Expected delay. The measured one fades to `typical` while the upstream
+/// completes nothing, so that one slow answer does not exclude it for good.
+absl::Duration ExpectedDelay(const Upstream& upstream,
+                             absl::Duration typical,
+                             absl::Time now);
+
 /// Trouble as of now.
 double CurrentTrouble(const Upstream& upstream, absl::Time now);
 
--- a/src/boragepaddle/transport/http_listener.cc
+++ b/src/boragepaddle/transport/http_listener.cc
@@ -129,14 +129,18 @@
     this->accept_thread = std::thread([this] { this->listen_after_bind(); });
   }
 
-  void Shutdown() {
-    if (!this->accept_thread.joinable()) {
-      return;
+  void StopAccepting() {
+    absl::MutexLock lock(&this->stop_mutex);
+    if (this->accept_thread.joinable()) {
+      this->stop();
+      this->accept_thread.join();
     }
+  }
+
+  void Shutdown() {
     this->stopping = true;
     this->CloseIdle();
-    this->stop();
-    this->accept_thread.join();
+    this->StopAccepting();
   }
 
  private:
@@ -229,6 +233,7 @@
   const HttpHandler handler;
   int listen_fd = -1;
   std::atomic<bool> stopping{false};
+  absl::Mutex stop_mutex;
   std::thread accept_thread;
   absl::Mutex mutex;
   absl::flat_hash_set<socket_t> idle_fds ABSL_GUARDED_BY(mutex);
@@ -253,6 +258,10 @@
   return bound;
 }
 
+void HttpListener::StopAccepting() {
+  this->impl->StopAccepting();
+}
+
 void HttpListener::Stop() {
   this->impl->Shutdown();
 }
--- a/src/boragepaddle/transport/http_listener.h
+++ b/src/boragepaddle/transport/http_listener.h
@@ -43,6 +43,9 @@
   /// Binds and starts to serve; returns the address with the real port.
   base::Result<std::string, TransportError> Start(absl::string_view address);
 
+  /// Refuses new connections; open ones are served until they close.
+  void StopAccepting();
+
   /// Stops accepting and closes idle connections.
   void Stop();
 
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -122,6 +122,19 @@
   CHECK(CountPicks(table, "vm-0", At(2306), 200) > 40);
 }
 
+// Guards against a node that was frozen, answered late once, and was then kept
+// out of use by that measurement.
+TEST_CASE("routing: one slow answer does not exclude an upstream for good") {
+  RouteTable table = MakeTable(2);
+  for (int i = 0; i < 20; ++i) {
+    Complete(table, "vm-1", i, i + 5);
+  }
+  Complete(table, "vm-0", 0, 1000);
+  CHECK(CountPicks(table, "vm-0", At(1001), 200) < 70);
+  OnSent(table, "vm-1", At(6000));
+  CHECK(CountPicks(table, "vm-0", At(6000), 200) > 100);
+}
+
 // Guards against one upstream that refuses or fails fast and draws all calls.
 TEST_CASE("routing: fast errors do not attract calls") {
   RouteTable table = MakeTable(2);
--- /dev/null
+++ b/tools/mesh/stops.py
@@ -0,0 +1,71 @@
+"""Planned stops of nodes under load."""
+
+import json
+import subprocess
+
+from mesh.mesh import Mesh, program
+from mesh.small import small_config, small_topology
+
+
+class StableMesh(Mesh):
+    """A mesh whose nodes keep their addresses over a restart, so that the VM
+    list never shows the stop."""
+
+    def __init__(self, *arguments, **named):
+        super().__init__(*arguments, **named)
+        self.kept_addresses = {}
+
+    def _settings(self, vm):
+        return {**super()._settings(vm), **self.kept_addresses.get(vm.vm_id, {})}
+
+    def restart_node(self, vm_id):
+        """Stops the node, which must drain by itself, and starts it again;
+        returns the exit code."""
+        node = self.nodes[vm_id]
+        self.kept_addresses[vm_id] = {
+            f"{name}_address": address for name, address in node.addresses.items()}
+        code = node.stop(timeout_s=30)
+        self.start_node(self.vms[vm_id]).wait_ready()
+        return code
+
+
+def load_plan(mesh, seconds, rate):
+    entries = [node.addresses["caller"] for node in mesh.nodes.values()]
+    common = {"service": "catalogue", "rate": rate, "deadline_ms": 2000,
+              "attempts": 6, "resend_pause_ms": 20}
+    return {"entries": entries, "phases": [{"name": "stops", "seconds": seconds}],
+            "operations": [{"operation": "read", "class": "member", **common},
+                           {"operation": "register", "class": "member",
+                            "ticket": True, **common}]}
+
+
+def run_planned_stops(stops, rate=100, workers=3, seconds_per_stop=2.0):
+    """Stops one node after the other while all are under load; returns the
+    number of requests by outcome, and the exit codes of the nodes."""
+    with StableMesh(small_topology(workers), small_config()) as mesh:
+        plan = mesh._write_json("plan.json", load_plan(
+            mesh, stops * seconds_per_stop + 2, rate))
+        ends = mesh.journal_path("ends")
+        load = subprocess.Popen(
+            [program("load"), f"--plan={plan}", f"--ends={ends}"],
+            stdout=subprocess.DEVNULL)
+        try:
+            names = sorted(mesh.nodes)
+            codes = [mesh.restart_node(names[index % len(names)])
+                     for index in range(stops)]
+            still_running = load.poll() is None
+            load.wait(stops * seconds_per_stop + 60)
+        finally:
+            if load.poll() is None:
+                load.kill()
+        outcomes = {}
+        with open(ends, encoding="utf-8") as file:
+            for line in file:
+                outcome = line.split()[2]
+                outcomes[outcome] = outcomes.get(outcome, 0) + 1
+        return {"outcomes": outcomes, "exit_codes": codes,
+                "load_during_all_stops": still_running}
+
+
+def describe(result):
+    return json.dumps(result, sort_keys=True)
