--- a/tests/unit/route_fixture.h
+++ b/tests/unit/route_fixture.h
@@ -33,6 +33,7 @@
 
 inline std::vector<schema::VmEntry> MakeVms(int count) {
   std::vector<schema::VmEntry> vms;
+  vms.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     vms.push_back(MakeVm(absl::StrCat("vm-", i)));
   }
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -27,6 +27,7 @@
 
 std::set<std::string> Subset(const std::vector<schema::VmEntry>& vms) {
   std::vector<const schema::VmEntry*> all;
+  all.reserve(vms.size());
   for (const auto& vm : vms) {
     all.push_back(&vm);
   }
@@ -41,6 +42,7 @@
 // against a subset without a second zone to spill to.
 TEST_CASE("subset: 20 of 200, mostly of the own zone, stable on one loss") {
   std::vector<schema::VmEntry> vms;
+  vms.reserve(200);
   for (int i = 0; i < 200; ++i) {
     vms.push_back(MakeVm(absl::StrCat("vm-", i), i % 4 ? "banqiao" : "tamsui",
                          i % 5 ? "tw-north" : "salish-coast"));
