--- a/tests/unit/control_test.cc
+++ b/tests/unit/control_test.cc
@@ -96,6 +96,15 @@
   CHECK(pump.Lacking(2) == 0);
 }
 
+// Guards the platform's read limit at the start of a fleet: the reads of the
+// non-readers were not spread over the zone before the list was known.
+TEST_CASE("control: started nodes share the read rate of their zone") {
+  ControlPump pump = MakeFleet(100);
+  pump.Run(absl::Seconds(4));
+  // Three zones with one read in 2 s each make 6 on average.
+  CHECK(pump.reading.size() <= 12);
+}
+
 // Guards R8: neither late deltas nor a stale platform may undo a change.
 TEST_CASE("control: late deltas and stale answers never revert a version") {
   ControlPump pump = MakeFleet(10);
@@ -183,6 +192,16 @@
   CHECK(pump.alarms[victim][1].payload == Payload::kList);
 }
 
+// Guards against a false alarm from a platform that was just started.
+TEST_CASE("control: a platform without content is no conflict") {
+  ControlPump pump;
+  pump.AddNode("alone", "tamsui", {});
+  pump.Handle("alone", PlatformConfig());
+  pump.Handle("alone", PlatformList());
+  CHECK(pump.alarms.empty());
+  CHECK(pump.watching.count("alone") == 1);
+}
+
 // Guards against checking a refused version at every exchange.
 TEST_CASE("control: a refused version is checked once and replaced later") {
   ControlPump pump = MakeFleet(5);
