--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -27,6 +27,7 @@
 
 std::set<std::string> Subset(const std::vector<schema::VmEntry>& vms) {
   std::vector<const schema::VmEntry*> all;
+  all.reserve(vms.size());
   for (const auto& vm : vms) {
     all.push_back(&vm);
   }
@@ -41,6 +42,7 @@
 // against a subset without a second zone to spill to.
 TEST_CASE("subset: 20 of 200, mostly of the own zone, stable on one loss") {
   std::vector<schema::VmEntry> vms;
+  vms.reserve(200);
   for (int i = 0; i < 200; ++i) {
     vms.push_back(MakeVm(absl::StrCat("vm-", i), i % 4 ? "banqiao" : "tamsui",
                          i % 5 ? "tw-north" : "salish-coast"));
@@ -122,6 +124,19 @@
   CHECK(CountPicks(table, "vm-0", At(2306), 200) > 40);
 }
 
+// Guards against a node that was frozen, answered late once, and was then kept
+// out of use by that measurement.
+TEST_CASE("routing: one slow answer does not exclude an upstream for good") {
+  RouteTable table = MakeTable(2);
+  for (int i = 0; i < 20; ++i) {
+    Complete(table, "vm-1", i, i + 5);
+  }
+  Complete(table, "vm-0", 0, 1000);
+  CHECK(CountPicks(table, "vm-0", At(1001), 200) < 70);
+  OnSent(table, "vm-1", At(6000));
+  CHECK(CountPicks(table, "vm-0", At(6000), 200) > 100);
+}
+
 // Guards against one upstream that refuses or fails fast and draws all calls.
 TEST_CASE("routing: fast errors do not attract calls") {
   RouteTable table = MakeTable(2);
