--- a/tools/mesh/load.py
+++ b/tools/mesh/load.py
@@ -38,10 +38,11 @@
         raise RuntimeError(f"load ended with {code}: {process.log_tail()}")
     with open(paths["results"], encoding="utf-8") as file:
         results = json.load(file)
-    return results, _read_ends(paths["ends"])
+    return results, read_ends(paths["ends"])
 
 
-def _read_ends(path):
+def read_ends(path):
+    """{request key: RequestEnd} of the file that the load generator writes."""
     ends = {}
     with open(path, encoding="utf-8") as file:
         for line in file:
--- a/tools/mesh/stops.py
+++ b/tools/mesh/stops.py
@@ -1,8 +1,10 @@
 """Planned stops of nodes under load."""
 
+import collections
 import json
 import subprocess
 
+from mesh.load import read_ends
 from mesh.mesh import Mesh, program
 from mesh.small import small_config, small_topology
 
@@ -58,11 +60,7 @@
         finally:
             if load.poll() is None:
                 load.kill()
-        outcomes = {}
-        with open(ends, encoding="utf-8") as file:
-            for line in file:
-                outcome = line.split()[2]
-                outcomes[outcome] = outcomes.get(outcome, 0) + 1
+        outcomes = collections.Counter(end.outcome for end in read_ends(ends).values())
         return {"outcomes": outcomes, "exit_codes": codes,
                 "load_during_all_stops": still_running}
 
