--- a/src/boragepaddle/daemon/rule_book.cc
+++ b/src/boragepaddle/daemon/rule_book.cc
@@ -1,7 +1,9 @@
 #include "boragepaddle/daemon/rule_book.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
 namespace boragepaddle::daemon {
@@ -9,6 +11,19 @@
 namespace {
 
 constexpr size_t kAuditCapacity = 2000;
+// The first version of a node's life changes every key of the folder.
+constexpr uint64_t kMaxLoggedPerVersion = 50;
+
+std::string Describe(const config::AuditEntry& entry) {
+  std::string text = absl::StrCat(
+      config::ToString(entry.verdict), " version=", entry.version,
+      " member=", entry.member, " file=", entry.file, " path=", entry.path,
+      " old=", entry.old_value, " new=", entry.new_value);
+  if (!entry.reason.empty()) {
+    absl::StrAppend(&text, " reason=", entry.reason);
+  }
+  return text;
+}
 
 }  // namespace
 
@@ -20,6 +35,7 @@
   absl::MutexLock lock(&this->config_mutex);
   config::OfferResult result =
       this->versions.Offer(version, std::move(folder), absl::Now());
+  this->LogAudit();
   absl::MutexLock snapshot_lock(&this->snapshot_mutex);
   this->snapshot = this->versions.Current();
   return result;
@@ -32,11 +48,29 @@
   absl::MutexLock lock(&this->config_mutex);
   config::OfferResult result =
       this->versions.OfferDelta(version, digest, changes, absl::Now());
+  this->LogAudit();
   absl::MutexLock snapshot_lock(&this->snapshot_mutex);
   this->snapshot = this->versions.Current();
   return result;
 }
 
+void RuleBook::LogAudit() {
+  const config::AuditTrail& audit = this->versions.Audit();
+  const auto& entries = audit.Entries();
+  const uint64_t total = audit.Dropped() + entries.size();
+  const uint64_t added = total - this->logged_entries;
+  const uint64_t shown =
+      std::min<uint64_t>({added, entries.size(), kMaxLoggedPerVersion});
+  const size_t first = entries.size() - std::min<size_t>(added, entries.size());
+  for (size_t index = first; index < first + shown; ++index) {
+    this->log.Info(Describe(entries[index]));
+  }
+  if (added > shown) {
+    this->log.Info(absl::StrCat("further changes=", added - shown));
+  }
+  this->logged_entries = total;
+}
+
 std::shared_ptr<const config::ConfigSnapshot> RuleBook::Current() const {
   absl::MutexLock lock(&this->snapshot_mutex);
   return this->snapshot;
--- a/src/boragepaddle/daemon/rule_book.h
+++ b/src/boragepaddle/daemon/rule_book.h
@@ -12,6 +12,7 @@
 #include "absl/types/optional.h"
 #include "absl/types/span.h"
 #include "boragepaddle/config/versioned_config.h"
+#include "boragepaddle/daemon/logger.h"
 #include "boragepaddle/node/call_rule.h"
 
 namespace boragepaddle::daemon {
@@ -39,9 +40,14 @@
   std::string AuditJson() const;
 
  private:
+  /// Writes the audit entries that were added since the last call to the log.
+  void LogAudit() ABSL_EXCLUSIVE_LOCKS_REQUIRED(config_mutex);
+
+  const Logger log{"audit"};
   // Checking a folder may take long, so that it has a lock of its own.
   mutable absl::Mutex config_mutex;
   config::VersionedConfig versions ABSL_GUARDED_BY(config_mutex);
+  uint64_t logged_entries ABSL_GUARDED_BY(config_mutex) = 0;
   mutable absl::Mutex snapshot_mutex;
   std::shared_ptr<const config::ConfigSnapshot> snapshot
       ABSL_GUARDED_BY(snapshot_mutex);
--- a/tests/integration/config_fleet_test.py
+++ b/tests/integration/config_fleet_test.py
@@ -94,6 +94,9 @@
         for status in self.fleet.statuses().values():
             self.assertEqual(revision, status["config_version"])
             self.assertLessEqual(status["control"]["counters"]["configs_refused"], 1)
+        # Guards against a refusal that only the reader's memory knows.
+        log = self.fleet.nodes[readers[0]].log_tail(50)
+        self.assertIn(f"[audit] refused version={refused} member=bureau file=10-bureau.json", log)
         self.change_and_check()
 
     def test_newcomer_without_platform_becomes_ready(self):
