--- a/tests/integration/routing_test.py
+++ b/tests/integration/routing_test.py
@@ -152,7 +152,7 @@
         """Guards against R6: the VM list still names the VM as live."""
         with Mesh(small_topology(3), small_config()) as mesh:
             entry = mesh.nodes["catalogue-0"].addresses["caller"]
-            worker = mesh.workers["ledger-1"].addresses["address"]
+            worker = mesh.workers["ledger-0"].addresses["address"]
 
             def balance(count):
                 for index in range(count):
@@ -161,13 +161,13 @@
 
             balance(60)
             self.assertGreater(get_json(worker, "/stats")["started"], 0)
-            mesh.nodes["ledger-1"].send(signal.SIGTERM)
-            wait_until(lambda: "upstream is leaving vm=ledger-1"
+            mesh.nodes["ledger-0"].send(signal.SIGTERM)
+            wait_until(lambda: "upstream is leaving vm=ledger-0"
                        in mesh.nodes["catalogue-0"].log_tail(), 3, "leaving mark")
             before = get_json(worker, "/stats")["started"]
             balance(100)
             self.assertEqual(before, get_json(worker, "/stats")["started"])
-            self.assertEqual(0, mesh.nodes["ledger-1"].wait(10))
+            self.assertEqual(0, mesh.nodes["ledger-0"].wait(10))
 
     def test_planned_stops_interrupt_nothing(self):
         """Guards against R7."""
@@ -180,8 +180,8 @@
         """Guards against calls that wait for whole deadlines at a frozen node."""
         with Mesh(small_topology(3), small_config()) as mesh:
             entry = mesh.nodes["catalogue-0"].addresses["caller"]
-            frozen = mesh.nodes["ledger-1"]
-            worker = mesh.workers["ledger-1"].addresses["address"]
+            frozen = mesh.nodes["ledger-0"]
+            worker = mesh.workers["ledger-0"].addresses["address"]
 
             def balance(_):
                 return call(entry, "ledger", "balance", '{"key": "x"}',
