--- a/tests/integration/emulator_test.py
+++ b/tests/integration/emulator_test.py
@@ -7,7 +7,9 @@
 import unittest
 
 from mesh import Mesh, get_json, get_status, post_json, put_json, wait_until
+from mesh.executions import root_executions
 from mesh.http import request
+from mesh.load import run_load
 from mesh.small import small_config, small_topology
 
 
@@ -103,6 +105,45 @@
         self.assertGreaterEqual(time.monotonic() - start, 0.5)
 
 
+class LoadTest(unittest.TestCase):
+    def setUp(self):
+        self.mesh = Mesh(small_topology(), small_config(), with_nodes=False)
+        self.mesh.__enter__()
+        self.addCleanup(self.mesh.stop)
+
+    def run_load(self, **operation):
+        workers = self.mesh.workers_of("catalogue")
+        return run_load(self.mesh, "test", {
+            "entries": [worker.addresses["address"] for worker in workers],
+            "phases": [{"name": "only", "seconds": 1}],
+            "operations": [{"service": "catalogue", "operation": "read", "path": "/read",
+                            "class": "member", "rate": 50, **operation}]})
+
+    def test_every_request_is_accounted_for_once(self):
+        # Guards against requests that are sent twice or not reported.
+        results, ends = self.run_load()
+        counts = results["phases"]["only"]["member"]
+        self.assertEqual(counts["offered"], counts["completed"])
+        self.assertEqual(len(ends), counts["offered"])
+        executions = root_executions(self.mesh)
+        self.assertEqual({key: 1 for key in ends},
+                         {key: started for key, (started, _) in executions.items()})
+
+    def test_answer_of_another_operation_is_wrong(self):
+        # Guards against a check that accepts any answer.
+        results, _ = self.run_load(path="/check")
+        counts = results["phases"]["only"]["member"]
+        self.assertEqual((counts["completed"], counts["wrong"]), (0, counts["offered"]))
+
+    def test_failed_requests_are_resent_within_the_bound(self):
+        for worker in self.mesh.workers.values():
+            post_json(worker.addresses["address"], "/control", {"fail_percent": 100})
+        results, _ = self.run_load(attempts=3, resend_unknown=True)
+        counts = results["phases"]["only"]["member"]
+        self.assertEqual(counts["failed"], counts["offered"])
+        self.assertEqual(counts["attempts"], 3 * counts["offered"])
+
+
 class ProxyTest(unittest.TestCase):
     def setUp(self):
         self.mesh = Mesh(small_topology(1), small_config(), with_nodes=False)
