Take an early time-out of the worker for a time-out; test the worker client

Ruled out: connections that the worker closed, which do not come at the deadline. The test of a silent worker covers it; truncated bodies are tested too.

--- a/src/boragepaddle/transport/worker_client.cc
+++ b/src/boragepaddle/transport/worker_client.cc
@@ -21,6 +21,11 @@
 constexpr absl::Duration kMaxIdle = absl::Seconds(3);
 constexpr absl::Duration kConnectTimeout = absl::Seconds(1);
 
+// cpp-httplib waits with poll and cuts the time to whole milliseconds, so that
+// its time-outs come up to 1 ms early. A time-out taken for a broken connection
+// would mark the request as a crash suspect.
+constexpr absl::Duration kTimeoutSlack = absl::Milliseconds(2);
+
 struct KeptClient {
   std::unique_ptr<httplib::Client> client;
   absl::Time last_used;
@@ -67,7 +72,7 @@
         client->Post(std::string(path), fields, std::string(body),
                      "application/octet-stream");
     if (!result) {
-      return FromFailure(result.error(), MonotonicNow() >= give_up);
+      return FromFailure(result.error(), MonotonicNow() >= give_up - kTimeoutSlack);
     }
     if (!HasDelimitedBody(result.value())) {
       return FromFailure(httplib::Error::Read, false);
--- a/tests/unit/emulator_link_test.cc
+++ b/tests/unit/emulator_link_test.cc
@@ -9,9 +9,9 @@
 namespace emulator {
 namespace {
 
-const LinkEnd tamsui = {"lending-0", "tamsui", "tw-north"};
-const LinkEnd banqiao = {"lending-1", "banqiao", "tw-north"};
-const LinkEnd westport = {"ledger-0", "westport", "salish-coast"};
+const LinkEnd kTamsui = {"lending-0", "tamsui", "tw-north"};
+const LinkEnd kBanqiao = {"lending-1", "banqiao", "tw-north"};
+const LinkEnd kWestport = {"ledger-0", "westport", "salish-coast"};
 
 std::vector<LinkRule> Rules(const char* text) {
   auto rules = ReadRules(nlohmann::json::parse(text));
@@ -23,7 +23,7 @@
 TEST_CASE("a later rule overrides only the settings that it names") {
   const auto rules = Rules(R"([{"between": "zones", "delay_ms": 0.5},
       {"from_zone": "tamsui", "black_hole": true, "direction": "to_target"}])");
-  const LinkEffect effect = EffectFor(rules, tamsui, banqiao);
+  const LinkEffect effect = EffectFor(rules, kTamsui, kBanqiao);
   CHECK(effect.to_target.delay == absl::Microseconds(500));
   CHECK(effect.to_target.black_hole);
   CHECK_FALSE(effect.to_source.black_hole);
@@ -34,16 +34,16 @@
   const auto rules = Rules(
       R"([{"from_zone": "tamsui", "to_zone": "banqiao", "both_ways": true,
            "cut": true}])");
-  CHECK(EffectFor(rules, tamsui, banqiao).cut);
-  CHECK(EffectFor(rules, banqiao, tamsui).cut);
-  CHECK_FALSE(EffectFor(rules, tamsui, westport).cut);
+  CHECK(EffectFor(rules, kTamsui, kBanqiao).cut);
+  CHECK(EffectFor(rules, kBanqiao, kTamsui).cut);
+  CHECK_FALSE(EffectFor(rules, kTamsui, kWestport).cut);
 }
 
 TEST_CASE("zones of different regions are not between zones") {
   const auto rules = Rules(R"([{"between": "zones", "delay_ms": 1}])");
-  CHECK(EffectFor(rules, tamsui, westport).to_target.delay ==
+  CHECK(EffectFor(rules, kTamsui, kWestport).to_target.delay ==
         absl::ZeroDuration());
-  CHECK(EffectFor(rules, tamsui, tamsui).to_target.delay ==
+  CHECK(EffectFor(rules, kTamsui, kTamsui).to_target.delay ==
         absl::ZeroDuration());
 }
 
--- /dev/null
+++ b/tests/unit/worker_client_test.cc
@@ -0,0 +1,96 @@
+#include "boragepaddle/transport/worker_client.h"
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "absl/time/clock.h"
+#include "boragepaddle/transport/socket.h"
+
+namespace boragepaddle::transport {
+namespace {
+
+using node::WorkerAnswer;
+using node::WorkerCallEnd;
+
+constexpr absl::Duration kTimeout = absl::Milliseconds(200);
+
+/// Takes one connection, sends the bytes after the request has come, and
+/// closes at once or after the client's timeout.
+class ScriptedWorker {
+ public:
+  ScriptedWorker(std::string reply, bool close_at_once)
+      : listener(std::move(Listen("127.0.0.1:0").value())),
+        reply(std::move(reply)),
+        close_at_once(close_at_once) {
+    this->thread = std::thread([this] { this->Serve(); });
+  }
+  ~ScriptedWorker() { this->thread.join(); }
+
+  std::string address() const { return LocalAddress(this->listener); }
+
+ private:
+  void Serve() {
+    const Socket connection(accept(this->listener.get(), nullptr, nullptr));
+    char request[4096];
+    recv(connection.get(), request, sizeof(request), 0);
+    send(connection.get(), this->reply.data(), this->reply.size(),
+         MSG_NOSIGNAL);
+    if (!this->close_at_once) {
+      absl::SleepFor(2 * kTimeout);
+    }
+  }
+
+  Socket listener;
+  std::string reply;
+  bool close_at_once;
+  std::thread thread;
+};
+
+WorkerAnswer CallScripted(const std::string& reply, bool close_at_once) {
+  ScriptedWorker worker(reply, close_at_once);
+  WorkerClient client(worker.address());
+  return client.Post("/op", {}, "body", kTimeout);
+}
+
+TEST_CASE("worker client: an answer with its whole body is taken") {
+  const WorkerAnswer answer =
+      CallScripted("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", true);
+  CHECK(answer.end == WorkerCallEnd::kAnswered);
+  CHECK(answer.body == "whole");
+}
+
+// Guards against half an answer that is passed on as a whole one (R3).
+TEST_CASE("worker client: a truncated body is no answer") {
+  CHECK(CallScripted("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true)
+            .end == WorkerCallEnd::kBroken);
+  CHECK(CallScripted("HTTP/1.1 200 OK\r\n\r\nno length", true).end ==
+        WorkerCallEnd::kBroken);
+  CHECK(CallScripted("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "9\r\nhalf",
+                     true)
+            .end == WorkerCallEnd::kBroken);
+}
+
+// Guards against a timeout that counts as a crash of the worker.
+TEST_CASE("worker client: a silent worker is a timeout") {
+  for (int i = 0; i < 5; ++i) {
+    CHECK(CallScripted("", false).end == WorkerCallEnd::kTimeout);
+  }
+}
+
+TEST_CASE("worker client: a refused connection was not sent") {
+  std::string address;
+  {
+    const auto listener = Listen("127.0.0.1:0");
+    address = LocalAddress(listener.value());
+  }
+  WorkerClient client(address);
+  CHECK(client.Post("/op", {}, "", kTimeout).end == WorkerCallEnd::kNotSent);
+}
+
+}  // namespace
+}  // namespace boragepaddle::transport
