Refuse a call before it runs when a service that it calls refuses its class

Cause: the gate for a callee was asked when the parent already ran; each of 33 entries let a share and probes pass. Ruled out: fewer probes or a lower share alone, see docs/decisions/routing.md.

--- a/src/boragepaddle/daemon/egress_client.cc
+++ b/src/boragepaddle/daemon/egress_client.cc
@@ -52,6 +52,24 @@
   return std::get<node::FinishCall>(std::move(action));
 }
 
+bool EgressClient::CalleesAdmit(absl::Span<const config::OperationName> callees,
+                                schema::CallClass call_class) {
+  if (this->settings.policy != node::EgressPolicy::kFull) {
+    return true;
+  }
+  for (const config::OperationName& callee : callees) {
+    const bool passes = this->services.With(callee.service, [&](Services& all) {
+      return node::PassesGates(this->StateOf(all, callee.service),
+                               callee.operation, call_class, MonotonicNow(),
+                               RandomBits());
+    });
+    if (!passes) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void EgressClient::SetUpstreams(absl::Span<const schema::VmEntry> vms) {
   auto by_service = std::make_shared<VmsByService>();
   for (const schema::VmEntry& vm : vms) {
--- a/src/boragepaddle/daemon/egress_client.h
+++ b/src/boragepaddle/daemon/egress_client.h
@@ -12,6 +12,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/types/span.h"
 #include "boragepaddle/base/sharded.h"
+#include "boragepaddle/config/operation_name.h"
 #include "boragepaddle/daemon/attempt_table.h"
 #include "boragepaddle/daemon/logger.h"
 #include "boragepaddle/daemon/peer_hub.h"
@@ -31,6 +32,11 @@
   node::FinishCall Call(node::EgressCall call,
                         const std::function<bool()>& caller_connected);
 
+  /// False if a callee refuses the class now, so that a request which calls
+  /// it would do work in vain.
+  bool CalleesAdmit(absl::Span<const config::OperationName> callees,
+                    schema::CallClass call_class);
+
   /// Installs the VM list.
   void SetUpstreams(absl::Span<const schema::VmEntry> vms);
 
--- a/src/boragepaddle/daemon/ingress_server.cc
+++ b/src/boragepaddle/daemon/ingress_server.cc
@@ -70,12 +70,14 @@
                              RuleBook& rules,
                              RequestContexts& contexts,
                              transport::WorkerClient& worker,
-                             PeerConnector connect)
+                             PeerConnector connect,
+                             CalleesAdmit callees_admit)
     : settings(settings),
       rules(rules),
       contexts(contexts),
       worker(worker),
       connect(std::move(connect)),
+      callees_admit(std::move(callees_admit)),
       state(node::MakeIngress(ToIngressSettings(settings, incarnation))),
       pool(settings.slots),
       control_pool(kControlThreads) {
@@ -112,10 +114,20 @@
     link->Send(answer);
     return;
   }
+  // A request with a ticket was let pass when the ticket was issued, and it may
+  // be the repeat of one that has run.
+  const bool admit = !request.ticket.empty() ||
+                     this->callees_admit(request.service, request.operation,
+                                         request.call_class);
   {
     absl::MutexLock lock(&this->mutex);
-    actions = node::OnCallRequest(this->state, link->id(), std::move(request),
-                                  *rule, MonotonicNow());
+    if (admit) {
+      actions = node::OnCallRequest(this->state, link->id(), std::move(request),
+                                    *rule, MonotonicNow());
+    } else {
+      actions = node::RefuseForCallees(this->state, link->id(), request,
+                                       MonotonicNow());
+    }
   }
   this->Perform(std::move(actions));
 }
@@ -146,6 +158,14 @@
 
 void IngressServer::OnTicketRequest(const PeerLinkPtr& link,
                                     const schema::TicketRequest& request) {
+  if (!this->callees_admit(request.service, request.operation,
+                           request.call_class)) {
+    schema::TicketGrant grant;
+    grant.attempt_id = request.attempt_id;
+    grant.reason = schema::Reason::kRefusedBelow;
+    link->Send(grant);
+    return;
+  }
   node::IngressActions actions;
   {
     absl::MutexLock lock(&this->mutex);
--- a/src/boragepaddle/daemon/ingress_server.h
+++ b/src/boragepaddle/daemon/ingress_server.h
@@ -29,12 +29,18 @@
   /// Returns an open connection to a peer address; null if there is none.
   using PeerConnector = std::function<PeerLinkPtr(const std::string& address)>;
 
+  /// False if a service that the operation calls refuses the class now.
+  using CalleesAdmit = std::function<bool(absl::string_view service,
+                                          absl::string_view operation,
+                                          schema::CallClass call_class)>;
+
   IngressServer(const schema::NodeSettings& settings,
                 uint64_t incarnation,
                 RuleBook& rules,
                 RequestContexts& contexts,
                 transport::WorkerClient& worker,
-                PeerConnector connect);
+                PeerConnector connect,
+                CalleesAdmit callees_admit);
   ~IngressServer();
 
   void OnLinkOpen(const PeerLinkPtr& link);
@@ -79,6 +85,7 @@
   RequestContexts& contexts;
   transport::WorkerClient& worker;
   const PeerConnector connect;
+  const CalleesAdmit callees_admit;
   const Logger log{"ingress"};
   absl::Mutex mutex;
   node::IngressState state ABSL_GUARDED_BY(mutex);
--- a/src/boragepaddle/daemon/node_daemon.cc
+++ b/src/boragepaddle/daemon/node_daemon.cc
@@ -44,14 +44,21 @@
       incarnation(RandomBits()),
       rules(settings.founding_members),
       worker(settings.upstream_address),
-      ingress(settings,
-              this->incarnation,
-              this->rules,
-              this->contexts,
-              this->worker,
-              [this](const std::string& address) {
-                return this->hub.Connect(address);
-              }),
+      ingress(
+          settings,
+          this->incarnation,
+          this->rules,
+          this->contexts,
+          this->worker,
+          [this](const std::string& address) {
+            return this->hub.Connect(address);
+          },
+          [this](absl::string_view service,
+                 absl::string_view operation,
+                 schema::CallClass call_class) {
+            return this->egress.CalleesAdmit(
+                this->rules.CalleesOf(service, operation), call_class);
+          }),
       control(
           settings,
           this->rules,
--- a/src/boragepaddle/daemon/rule_book.cc
+++ b/src/boragepaddle/daemon/rule_book.cc
@@ -88,6 +88,24 @@
   return ToCallRule(*current->table, *entry);
 }
 
+std::vector<config::OperationName> RuleBook::CalleesOf(
+    absl::string_view service,
+    absl::string_view operation) const {
+  const std::shared_ptr<const config::ConfigSnapshot> current = this->Current();
+  const config::ServiceTable& table = *current->table;
+  std::vector<config::OperationName> callees;
+  const config::OperationEntry* entry = table.FindOperation(service, operation);
+  if (entry == nullptr) {
+    return callees;
+  }
+  callees.reserve(entry->callees.size());
+  for (const size_t position : entry->callees) {
+    const config::OperationEntry& callee = table.Operations()[position];
+    callees.push_back({table.ServiceOf(callee).rule.name, callee.rule.name});
+  }
+  return callees;
+}
+
 std::string RuleBook::AuditJson() const {
   absl::MutexLock lock(&this->config_mutex);
   return config::AuditToJson(this->versions.Audit());
--- a/src/boragepaddle/daemon/rule_book.h
+++ b/src/boragepaddle/daemon/rule_book.h
@@ -11,6 +11,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/types/optional.h"
 #include "absl/types/span.h"
+#include "boragepaddle/config/operation_name.h"
 #include "boragepaddle/config/versioned_config.h"
 #include "boragepaddle/daemon/logger.h"
 #include "boragepaddle/node/call_rule.h"
@@ -36,6 +37,11 @@
   absl::optional<node::CallRule> Find(absl::string_view service,
                                       absl::string_view operation) const;
 
+  /// Operations that the operation may call; empty if it is not known.
+  std::vector<config::OperationName> CalleesOf(
+      absl::string_view service,
+      absl::string_view operation) const;
+
   /// The audit trail as JSON.
   std::string AuditJson() const;
 
--- a/src/boragepaddle/node/egress.cc
+++ b/src/boragepaddle/node/egress.cc
@@ -26,16 +26,6 @@
 constexpr std::array<size_t, schema::kCallClassCount> kBlindTries = {
     routing::kMaxSubset, 4, 3, 2};
 
-bool PassesGates(EgressCall& call,
-                 ServiceState& service,
-                 absl::Time now,
-                 uint64_t random) {
-  return LetPass(service.gate, call.call_class, now,
-                 routing::DeriveBits(random, 1)) &&
-         LetPass(service.operations[call.operation].below, call.call_class, now,
-                 routing::DeriveBits(random, 2));
-}
-
 EgressAction End(const EgressCall& call,
                  ServiceState& service,
                  const FinishCall& finish,
@@ -177,6 +167,17 @@
 
 }  // namespace
 
+bool PassesGates(ServiceState& service,
+                 absl::string_view operation,
+                 schema::CallClass call_class,
+                 absl::Time now,
+                 uint64_t random) {
+  return LetPass(service.gate, call_class, now,
+                 routing::DeriveBits(random, 1)) &&
+         LetPass(service.operations[operation].below, call_class, now,
+                 routing::DeriveBits(random, 2));
+}
+
 EgressAction BeginCall(EgressCall& call,
                        ServiceState& service,
                        const EgressSettings& settings,
@@ -186,7 +187,10 @@
     return BeginTicketed(call, service, now);
   }
   const bool full = settings.policy == EgressPolicy::kFull;
-  if (full && !PassesGates(call, service, now, random)) {
+  // The gates of a child call were asked before its parent was given to the
+  // worker; a refusal now would waste the parent's work.
+  if (full && !call.child &&
+      !PassesGates(service, call.operation, call.call_class, now, random)) {
     return FinishWithout(call, Outcome::kNotRun, Reason::kOverloaded);
   }
   if (NeedsTicket(call)) {
--- a/src/boragepaddle/node/egress.h
+++ b/src/boragepaddle/node/egress.h
@@ -12,6 +12,14 @@
 
 namespace boragepaddle::node {
 
+/// False if the service, or one below the operation, refuses the class now.
+/// Counts the call.
+bool PassesGates(ServiceState& service,
+                 absl::string_view operation,
+                 schema::CallClass call_class,
+                 absl::Time now,
+                 uint64_t random);
+
 /// Starts a call. `random` are random bits, here and below. An at-most-once
 /// call without a ticket, unless it is a child, only gets a ticket; one with
 /// a ticket goes only to the process that the ticket names.
--- a/src/boragepaddle/node/egress_finish.cc
+++ b/src/boragepaddle/node/egress_finish.cc
@@ -14,7 +14,8 @@
 }  // namespace
 
 bool IsOverload(Reason reason) {
-  return reason == Reason::kOverloaded || reason == Reason::kDisplaced;
+  return reason == Reason::kOverloaded || reason == Reason::kDisplaced ||
+         reason == Reason::kRefusedBelow;
 }
 
 FinishCall FinishWithout(const EgressCall& call,
@@ -54,6 +55,8 @@
     } else {
       OnAccepted(below, call.call_class, now);
     }
+  } else if (finish.reason == Reason::kRefusedBelow) {
+    OnRefused(below, call.call_class, now);
   } else if (finish.refused) {
     OnRefused(service.gate, call.call_class, now);
   }
--- a/src/boragepaddle/node/ingress.cc
+++ b/src/boragepaddle/node/ingress.cc
@@ -376,6 +376,20 @@
   return {std::move(action)};
 }
 
+IngressActions RefuseForCallees(const IngressState& state,
+                                uint64_t link_id,
+                                const schema::CallRequest& request,
+                                absl::Time now) {
+  AnswerCall action;
+  action.key = {link_id, request.attempt_id};
+  action.answer =
+      MakeAnswer(state, request.attempt_id, schema::Outcome::kNotRun,
+                 schema::Reason::kRefusedBelow, now);
+  action.answer.tokens_left = request.retry_tokens;
+  action.answer.refused_below = true;
+  return {std::move(action)};
+}
+
 const IngressCall* BeginRun(IngressState& state,
                             CallKey key,
                             absl::Time now,
--- a/src/boragepaddle/node/ingress.h
+++ b/src/boragepaddle/node/ingress.h
@@ -68,6 +68,12 @@
                                const schema::TicketRequest& request,
                                absl::Time now);
 
+/// Refuses a call because a service that its operation calls refuses the class.
+IngressActions RefuseForCallees(const IngressState& state,
+                                uint64_t link_id,
+                                const schema::CallRequest& request,
+                                absl::Time now);
+
 /// Last check before the worker is given the call. Null if the call must not
 /// run any more; the actions then hold its answer.
 const IngressCall* BeginRun(IngressState& state,
--- a/src/boragepaddle/routing/route_table.cc
+++ b/src/boragepaddle/routing/route_table.cc
@@ -300,7 +300,7 @@
   // A refusal or an error is fast; its time must not attract calls.
   if (good) {
     AddDelay(table, *upstream, now - sent_at, now);
-  } else {
+  } else if (answer.reason != schema::Reason::kRefusedBelow) {
     AddTrouble(*upstream, now);
   }
 }
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -102,6 +102,8 @@
       return "paused";
     case Reason::kAnswerNotKept:
       return "answer-not-kept";
+    case Reason::kRefusedBelow:
+      return "refused-below";
   }
   return "invalid";
 }
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -94,8 +94,10 @@
   kPaused = 21,
   /// The request completed earlier; its answer is no longer stored.
   kAnswerNotKept = 22,
+  /// A service that the operation calls refuses the class.
+  kRefusedBelow = 23,
 };
-inline constexpr uint8_t kReasonCount = 23;
+inline constexpr uint8_t kReasonCount = 24;
 /// Returns the name used in settings, headers and logs.
 absl::string_view ToString(Reason value);
 /// Parses a name; false if it is unknown.
--- a/tests/unit/egress_test.cc
+++ b/tests/unit/egress_test.cc
@@ -202,6 +202,30 @@
   SentTo(scene.Begin(311));
 }
 
+// Guards against a service that is refused as a whole, or tried upstream by
+// upstream, because a service that one of its operations calls is overloaded.
+TEST_CASE("egress: a refusal for a callee closes the operation only") {
+  Scene scene;
+  SentTo(scene.Begin(0));
+  const FinishCall finish = Finished(
+      scene.Answer(MakeAnswer(Outcome::kNotRun, Reason::kRefusedBelow), 1));
+  CHECK(finish.outcome == Outcome::kNotRun);
+  CHECK(finish.refused);
+  CHECK_FALSE(PassesGates(scene.service, "read", CallClass::kMember, At(2), 1));
+  CHECK(PassesGates(scene.service, "check", CallClass::kMember, At(2), 1));
+}
+
+// Guards against work of a parent that is wasted because its child is refused
+// at the entry of the next hop.
+TEST_CASE("egress: a gate that refuses root requests lets child calls pass") {
+  Scene scene;
+  OnRefused(scene.service.gate, CallClass::kMember, At(0));
+  CHECK(Finished(scene.Begin(1)).reason == Reason::kOverloaded);
+  scene.NewCall(CallClass::kMember);
+  scene.call.child = true;
+  SentTo(scene.Begin(2));
+}
+
 // Guards against a sender that gives up before the upstream's truthful answer.
 TEST_CASE("egress: the upstream's deadline is earlier by a margin") {
   Scene scene;
