--- a/tests/unit/egress_test.cc
+++ b/tests/unit/egress_test.cc
@@ -220,8 +220,9 @@
 TEST_CASE("egress: a gate that refuses root requests lets child calls pass") {
   Scene scene;
   OnRefused(scene.service.gate, CallClass::kMember, At(0));
+  scene.NewCall(CallClass::kBulk);
   CHECK(Finished(scene.Begin(1)).reason == Reason::kOverloaded);
-  scene.NewCall(CallClass::kMember);
+  scene.NewCall(CallClass::kBulk);
   scene.call.child = true;
   SentTo(scene.Begin(2));
 }
