--- a/src/boragepaddle/transport/worker_client.cc
+++ b/src/boragepaddle/transport/worker_client.cc
@@ -72,7 +72,8 @@
         client->Post(std::string(path), fields, std::string(body),
                      "application/octet-stream");
     if (!result) {
-      return FromFailure(result.error(), MonotonicNow() >= give_up - kTimeoutSlack);
+      return FromFailure(result.error(),
+                         MonotonicNow() >= give_up - kTimeoutSlack);
     }
     if (!HasDelimitedBody(result.value())) {
       return FromFailure(httplib::Error::Read, false);
