Leave out the quarantine in the comparison policies

Cause: with the policies off and per_hop_retries, a worker that dropped a call under overload made its requests suspects, so that the baselines were not without protection. The policy full is unchanged.

--- a/src/boragepaddle/daemon/ingress_server.cc
+++ b/src/boragepaddle/daemon/ingress_server.cc
@@ -38,6 +38,7 @@
   result.incarnation = incarnation;
   result.slots = settings.slots;
   result.max_queue = std::max(kLeastQueue, kQueuePerSlot * settings.slots);
+  result.quarantine = settings.policy == "full";
   result.worker_accepts_cancel = settings.worker_accepts_cancel;
   const int filled = RAND_bytes(result.ticket_secret.data(),
                                 static_cast<int>(result.ticket_secret.size()));
--- a/src/boragepaddle/node/ingress_crash.cc
+++ b/src/boragepaddle/node/ingress_crash.cc
@@ -40,7 +40,9 @@
     // A call that an earlier crash broke has been counted.
     if (call.begun != absl::InfinitePast() && CrashOf(state, key) == 0) {
       event.in_flight.insert(key);
-      fingerprints.push_back(call.request.fingerprint);
+      if (state.settings.quarantine) {
+        fingerprints.push_back(call.request.fingerprint);
+      }
     }
   }
   auto reports = quarantine::OnWorkerCrash(
--- a/src/boragepaddle/node/ingress_state.h
+++ b/src/boragepaddle/node/ingress_state.h
@@ -43,6 +43,8 @@
   /// Requests that the worker runs at once.
   uint32_t slots = 64;
   uint32_t max_queue = 64;
+  /// Requests that crash workers are refused; off only in comparisons.
+  bool quarantine = true;
   bool worker_accepts_cancel = false;
   execution::TicketSecret ticket_secret{};
   /// Longest time that an answer after a crash waits for the other nodes to
