Judge planned stops by executions too

Cause: the test passed with a node that exits without draining, since senders retry an interrupted read and the outcome is good. It now also asks that no call ran twice, and requests are in flight at each stop (30 ms of work).

--- a/tests/integration/routing_test.py
+++ b/tests/integration/routing_test.py
@@ -173,6 +173,8 @@
         """Guards against R7."""
         result = run_planned_stops(6)
         self.assertEqual({"completed"}, set(result["outcomes"]), describe(result))
+        # A retry would hide an interrupted request behind a good outcome.
+        self.assertEqual(0, result["run_twice"], describe(result))
         self.assertEqual([0] * 6, result["exit_codes"])
         self.assertTrue(result["load_during_all_stops"])
 
--- a/tools/measure/planned_stops.py
+++ b/tools/measure/planned_stops.py
@@ -19,7 +19,7 @@
     result = run_planned_stops(arguments.stops, arguments.rate)
     print(describe(result))
     bad = sum(count for outcome, count in result["outcomes"].items()
-              if outcome != "completed")
+              if outcome != "completed") + result["run_twice"]
     print(f"requests={sum(result['outcomes'].values())} interrupted={bad} "
           f"nodes_drained={result['exit_codes'].count(0)}/{arguments.stops}")
     return 1 if bad or any(result["exit_codes"]) else 0
--- a/tools/mesh/stops.py
+++ b/tools/mesh/stops.py
@@ -4,11 +4,16 @@
 import json
 import subprocess
 
+from mesh.executions import repeated_executions
 from mesh.load import read_ends
 from mesh.mesh import Mesh, program
 from mesh.small import small_config, small_topology
 
 
+# Long enough that several requests are in flight at each stop.
+SERVICE_MS = 30
+
+
 class StableMesh(Mesh):
     """A mesh whose nodes keep their addresses over a restart, so that the VM
     list never shows the stop."""
@@ -31,6 +36,14 @@
         return code
 
 
+def stop_topology(workers):
+    topology = small_topology(workers)
+    for service in topology.services:
+        for operation in service.operations.values():
+            operation["service_ms"] = SERVICE_MS
+    return topology
+
+
 def load_plan(mesh, seconds, rate):
     entries = [node.addresses["caller"] for node in mesh.nodes.values()]
     common = {"service": "catalogue", "rate": rate, "deadline_ms": 2000,
@@ -43,8 +56,9 @@
 
 def run_planned_stops(stops, rate=100, workers=3, seconds_per_stop=2.0):
     """Stops one node after the other while all are under load; returns the
-    number of requests by outcome, and the exit codes of the nodes."""
-    with StableMesh(small_topology(workers), small_config()) as mesh:
+    number of requests by outcome, the exit codes of the nodes, and the number
+    of calls that ran twice."""
+    with StableMesh(stop_topology(workers), small_config()) as mesh:
         plan = mesh._write_json("plan.json", load_plan(
             mesh, stops * seconds_per_stop + 2, rate))
         ends = mesh.journal_path("ends")
@@ -61,7 +75,9 @@
             if load.poll() is None:
                 load.kill()
         outcomes = collections.Counter(end.outcome for end in read_ends(ends).values())
-        return {"outcomes": outcomes, "exit_codes": codes,
+        # An interrupted read is retried by its sender and runs again.
+        repeated = repeated_executions(mesh, ["catalogue.read", "catalogue.register", "ledger.post"])
+        return {"outcomes": outcomes, "exit_codes": codes, "run_twice": len(repeated),
                 "load_during_all_stops": still_running}
 
 
