--- a/tools/measure/capacity.py
+++ b/tools/measure/capacity.py
@@ -1,8 +1,9 @@
 #!/usr/bin/env python3
 """Rewrites the tables of docs/CAPACITY.md from the recorded measurements.
 
-Usage: capacity.py [--benchmark]. With --benchmark it first runs build/core_benchmark and records its result. The
-other inputs are the last row of docs/measurements/node_slopes.jsonl and docs/measurements/control_slopes.json.
+Usage: capacity.py [--benchmark] [--slopes]. With --benchmark it first runs build/core_benchmark, with --slopes
+node_slopes.py and control_slopes.py, and records the results. Otherwise it takes the recorded ones: the last row of
+docs/measurements/node_slopes.jsonl and docs/measurements/control_slopes.json.
 """
 import argparse
 import json
@@ -130,8 +131,14 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--benchmark", action="store_true", help="run the core benchmark first")
-    if parser.parse_args().benchmark:
+    parser.add_argument("--slopes", action="store_true", help="run the loopback slopes first (about 20 minutes)")
+    arguments = parser.parse_args()
+    if arguments.benchmark:
         run_benchmark()
+    if arguments.slopes:
+        for script in ("node_slopes.py", "control_slopes.py"):
+            subprocess.run([sys.executable, str(ROOT / "tools" / "measure" / script)], check=True,
+                           stdout=subprocess.DEVNULL)
     slopes = last_row("node_slopes.jsonl")
     control = json.loads((MEASUREMENTS / "control_slopes.json").read_text(encoding="utf-8"))
     page = PAGE.read_text(encoding="utf-8")
