--- a/src/boragepaddle/caller/entry_client.cc
+++ b/src/boragepaddle/caller/entry_client.cc
@@ -3,11 +3,9 @@
 #include <httplib.h>
 
 #include <utility>
-#include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "absl/synchronization/mutex.h"
-#include "absl/time/clock.h"
+#include "boragepaddle/transport/http_client_pool.h"
 
 namespace boragepaddle::caller {
 
@@ -22,11 +20,6 @@
 // A node closes a connection that is idle for 60 s.
 constexpr absl::Duration kMaxIdle = absl::Seconds(30);
 
-struct KeptClient {
-  std::unique_ptr<httplib::Client> client;
-  absl::Time last_used;
-};
-
 /// Refusals that a node makes before it reads the request id.
 bool IsEarlyRefusal(const CallResult& result) {
   return result.outcome == Outcome::kNotRun &&
@@ -77,10 +70,10 @@
 class EntryClient::Impl {
  public:
   explicit Impl(absl::string_view address)
-      : url(absl::StrCat("http://", address)) {}
+      : pool(address, {kConnectTimeout, kMaxIdle}) {}
 
   SendResult Send(const SendRequest& request) {
-    std::unique_ptr<httplib::Client> client = this->Take();
+    std::unique_ptr<httplib::Client> client = this->pool.Take();
     client->set_read_timeout(
         absl::ToChronoMicroseconds(request.left + kAnswerMargin));
     httplib::Headers headers = {
@@ -101,38 +94,13 @@
     SendResult result = ReadAnswer(answer.value(), request);
     // After an answer of another request the connection is out of step.
     if (result.result.outcome != Outcome::kUnknown) {
-      this->Keep(std::move(client));
+      this->pool.Keep(std::move(client));
     }
     return result;
   }
 
  private:
-  std::unique_ptr<httplib::Client> Take() {
-    {
-      absl::MutexLock lock(&this->mutex);
-      while (!this->kept.empty()) {
-        KeptClient last = std::move(this->kept.back());
-        this->kept.pop_back();
-        if (absl::Now() - last.last_used < kMaxIdle) {
-          return std::move(last.client);
-        }
-      }
-    }
-    auto client = std::make_unique<httplib::Client>(this->url);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_connection_timeout(absl::ToChronoMicroseconds(kConnectTimeout));
-    return client;
-  }
-
-  void Keep(std::unique_ptr<httplib::Client> client) {
-    absl::MutexLock lock(&this->mutex);
-    this->kept.push_back({std::move(client), absl::Now()});
-  }
-
-  const std::string url;
-  absl::Mutex mutex;
-  std::vector<KeptClient> kept ABSL_GUARDED_BY(mutex);
+  transport::HttpClientPool pool;
 };
 
 EntryClient::EntryClient(absl::string_view address)
--- a/src/boragepaddle/transport/worker_client.cc
+++ b/src/boragepaddle/transport/worker_client.cc
@@ -2,12 +2,10 @@
 
 #include <httplib.h>
 
-#include <algorithm>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
-#include "absl/synchronization/mutex.h"
 #include "boragepaddle/transport/clock.h"
+#include "boragepaddle/transport/http_client_pool.h"
 
 namespace boragepaddle::transport {
 
@@ -26,11 +24,6 @@
 // would mark the request as a crash suspect.
 constexpr absl::Duration kTimeoutSlack = absl::Milliseconds(2);
 
-struct KeptClient {
-  std::unique_ptr<httplib::Client> client;
-  absl::Time last_used;
-};
-
 // Without a length or chunks, a truncated body looks like a whole one.
 bool HasDelimitedBody(const httplib::Response& response) {
   return response.has_header("Content-Length") ||
@@ -54,14 +47,14 @@
 class WorkerClient::Impl {
  public:
   explicit Impl(absl::string_view address)
-      : url(absl::StrCat("http://", address)) {}
+      : pool(address, {kConnectTimeout, kMaxIdle}) {}
 
   WorkerAnswer Post(absl::string_view path,
                     absl::Span<const HttpHeader> headers,
                     absl::string_view body,
                     absl::Duration timeout) {
     const absl::Time give_up = MonotonicNow() + timeout;
-    std::unique_ptr<httplib::Client> client = this->Take();
+    std::unique_ptr<httplib::Client> client = this->pool.Take();
     client->set_read_timeout(absl::ToChronoMicroseconds(timeout));
     client->set_write_timeout(absl::ToChronoMicroseconds(timeout));
     httplib::Headers fields;
@@ -83,41 +76,12 @@
     answer.status = static_cast<uint32_t>(result->status);
     answer.content_type = result->get_header_value("Content-Type");
     answer.body = result->body;
-    this->Keep(std::move(client));
+    this->pool.Keep(std::move(client));
     return answer;
   }
 
  private:
-  std::unique_ptr<httplib::Client> Take() {
-    {
-      absl::MutexLock lock(&this->mutex);
-      const absl::Time oldest = MonotonicNow() - kMaxIdle;
-      const auto expired = [oldest](const KeptClient& kept) {
-        return kept.last_used < oldest;
-      };
-      auto& list = this->kept;
-      list.erase(std::remove_if(list.begin(), list.end(), expired), list.end());
-      if (!list.empty()) {
-        auto client = std::move(list.back().client);
-        list.pop_back();
-        return client;
-      }
-    }
-    auto client = std::make_unique<httplib::Client>(this->url);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_connection_timeout(absl::ToChronoMicroseconds(kConnectTimeout));
-    return client;
-  }
-
-  void Keep(std::unique_ptr<httplib::Client> client) {
-    absl::MutexLock lock(&this->mutex);
-    this->kept.push_back({std::move(client), MonotonicNow()});
-  }
-
-  const std::string url;
-  absl::Mutex mutex;
-  std::vector<KeptClient> kept ABSL_GUARDED_BY(mutex);
+  HttpClientPool pool;
 };
 
 WorkerClient::WorkerClient(absl::string_view address)
