--- /dev/null
+++ b/src/apps/boragepaddle_sidecar.cc
@@ -0,0 +1,153 @@
+#include <gflags/gflags.h>
+#include <signal.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <utility>
+
+#include "absl/strings/str_join.h"
+#include "absl/types/optional.h"
+#include "boragepaddle/platform/boot_settings.h"
+#include "boragepaddle/platform/store_client.h"
+#include "boragepaddle/platform/wire_names.h"
+#include "boragepaddle/proxy/proxy_node.h"
+#include "boragepaddle/telemetry/event_log.h"
+
+DEFINE_string(settings,
+              "",
+              "Path of the settings file; by default the path in the "
+              "environment variable of the platform.");
+DEFINE_bool(check, false, "Check the settings file and exit.");
+
+namespace {
+
+namespace bp = boragepaddle;
+using bp::telemetry::LogLine;
+
+constexpr int kExitOk = 0;
+constexpr int kExitBadSettings = 1;
+constexpr int kExitCannotStart = 2;
+
+std::string SettingsPath() {
+  if (!FLAGS_settings.empty()) {
+    return FLAGS_settings;
+  }
+  const char* path = std::getenv(bp::platform::kSettingsVariable);
+  return path == nullptr ? bp::platform::kSettingsPath : path;
+}
+
+absl::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return absl::nullopt;
+  }
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+/// Reads the settings file; prints what is wrong with it.
+absl::optional<bp::platform::BootSettings> ReadSettings(
+    const std::string& path) {
+  const auto text = ReadFile(path);
+  if (!text) {
+    std::fprintf(stderr, "cannot read the settings file '%s'\n", path.c_str());
+    return absl::nullopt;
+  }
+  auto settings = bp::platform::ParseBootSettings(*text);
+  if (!settings) {
+    std::fprintf(stderr, "%s: %s has no valid value: '%s'\n", path.c_str(),
+                 settings.error().key.c_str(), settings.error().value.c_str());
+    return absl::nullopt;
+  }
+  return settings.value();
+}
+
+/// Reads the file only when its text changed.
+std::function<absl::optional<bp::proxy::NodeSettings>()> MakeReload(
+    const std::string& path) {
+  auto last = std::make_shared<std::string>();
+  return [path, last]() -> absl::optional<bp::proxy::NodeSettings> {
+    const auto text = ReadFile(path);
+    if (!text || *text == *last) {
+      return absl::nullopt;
+    }
+    *last = *text;
+    const auto settings = bp::platform::ParseBootSettings(*text);
+    if (!settings) {
+      std::fprintf(stderr, "%s: %s has no valid value; keeping the last one\n",
+                   path.c_str(), settings.error().key.c_str());
+      return absl::nullopt;
+    }
+    return settings.value().node;
+  };
+}
+
+int Serve(const std::string& path, const bp::platform::BootSettings& settings) {
+  bp::telemetry::EventLog log{bp::telemetry::EventLogSettings()};
+  if (!settings.defaulted.empty()) {
+    log.State(LogLine("node", "settings_defaulted")
+                  .Add("keys", absl::StrJoin(settings.defaulted, ",")));
+  }
+  const auto store = bp::event::ParseEndpoint(settings.node.store_address);
+  if (!store) {
+    return kExitBadSettings;
+  }
+  boost::asio::io_context loop(1);
+  bp::proxy::NodeParts parts;
+  parts.http = bp::platform::MakeHttpDialect();
+  parts.store = bp::platform::MakeStoreDialect();
+  parts.config_source =
+      std::make_unique<bp::platform::StoreClient>(loop, *store);
+  parts.worker_source =
+      std::make_unique<bp::platform::StoreClient>(loop, *store);
+  parts.reload = MakeReload(path);
+  bp::proxy::ProxyNode node(loop, settings.node, std::move(parts), log);
+  if (!node.Start()) {
+    return kExitCannotStart;
+  }
+  boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+  std::function<void()> wait_signal = [&] {
+    signals.async_wait([&](const boost::system::error_code& error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        node.Reload();
+      } else {
+        node.StartStopping();
+      }
+      wait_signal();
+    });
+  };
+  wait_signal();
+  loop.run();
+  return kExitOk;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "Overload control node beside one upstream VM of the users' platform.\n"
+      "Usage: boragepaddle_sidecar [--settings=FILE] [--check]");
+  gflags::SetVersionString(BORAGEPADDLE_VERSION);
+  gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
+  signal(SIGPIPE, SIG_IGN);
+  const std::string path = SettingsPath();
+  const auto settings = ReadSettings(path);
+  if (!settings) {
+    return kExitBadSettings;
+  }
+  if (FLAGS_check) {
+    std::printf("%s: valid\n", path.c_str());
+    return kExitOk;
+  }
+  return Serve(path, *settings);
+}
--- /dev/null
+++ b/src/boragepaddle/admission/worker_gate.h
@@ -0,0 +1,113 @@
+#ifndef BORAGEPADDLE_ADMISSION_WORKER_GATE_H_
+#define BORAGEPADDLE_ADMISSION_WORKER_GATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "boragepaddle/schema/messages.h"
+
+namespace boragepaddle::admission {
+
+/// Limits of the gate in front of the local worker.
+struct GateSettings {
+  /// Share of the worker's slots that is used; workers slow down when nearly
+  /// full, and a new connection may hold a slot for a moment.
+  double slot_share = 0.95;
+  /// Share of the time to the objective that a call may wait. A refusal that
+  /// comes later leaves its caller too little time to come back.
+  double wait_share = 0.125;
+  /// Bounds on that wait.
+  absl::Duration min_wait = absl::Milliseconds(15);
+  absl::Duration max_wait = absl::Milliseconds(250);
+  /// Weight of a new sample in the mean time of a call.
+  double mean_weight = 0.05;
+  /// Mean time of a call before the first sample.
+  absl::Duration initial_mean = absl::Milliseconds(50);
+};
+
+/// A call that asks for a slot of the worker.
+struct GateCall {
+  uint64_t id = 0;
+  /// 0 is the most important.
+  uint32_t priority = 0;
+  /// Made for a request that already runs elsewhere.
+  bool nested = false;
+  /// Time to the latency objective.
+  absl::Duration objective = absl::InfiniteDuration();
+  absl::Time give_up_at = absl::InfiniteFuture();
+};
+
+/// Calls to start and to refuse, in this order.
+struct GateActions {
+  std::vector<uint64_t> start;
+  std::vector<uint64_t> refuse;
+};
+
+/// Queue and running calls of one worker.
+struct WorkerGate {
+  /// Nested calls first, then by priority, then by arrival.
+  struct Key {
+    uint32_t rank = 0;
+    uint64_t sequence = 0;
+    bool operator<(const Key& other) const {
+      return this->rank != other.rank ? this->rank < other.rank
+                                      : this->sequence < other.sequence;
+    }
+  };
+  struct Waiting {
+    GateCall call;
+    absl::Time refuse_at;
+  };
+
+  GateSettings settings;
+  uint32_t slots = 0;
+  absl::btree_map<Key, Waiting> queue;
+  absl::flat_hash_map<uint64_t, Key> queued_keys;
+  /// Start of each running call.
+  absl::flat_hash_map<uint64_t, absl::Time> running;
+  absl::Duration mean_time;
+  uint64_t next_sequence = 0;
+  /// Calls refused for lack of room since the last pressure update.
+  uint32_t recent_refusals = 0;
+  uint32_t recent_arrivals = 0;
+};
+
+WorkerGate MakeWorkerGate(const GateSettings& settings);
+
+/// Calls that may run at once.
+uint32_t GateLimit(const WorkerGate& gate);
+
+/// A call asks for a slot: it is started, queued or refused.
+GateActions OnGateArrival(WorkerGate& gate,
+                          const GateCall& call,
+                          absl::Time now);
+
+/// A started call ended. `completed` tells whether its time is a sample of the
+/// worker's speed.
+GateActions OnGateFinished(WorkerGate& gate,
+                           uint64_t id,
+                           bool completed,
+                           absl::Time now);
+
+/// Takes a call out of the queue; false if it is not queued.
+bool OnGateCancel(WorkerGate& gate, uint64_t id);
+
+/// Refuses calls that waited too long and starts others. Called regularly and
+/// after the slots changed.
+GateActions OnGateTick(WorkerGate& gate, absl::Time now);
+
+/// Empties the queue.
+std::vector<uint64_t> RefuseQueued(WorkerGate& gate);
+
+/// Expected wait of a new call of the rank.
+absl::Duration ExpectedWait(const WorkerGate& gate,
+                            uint32_t priority,
+                            bool nested);
+
+}  // namespace boragepaddle::admission
+
+#endif  // BORAGEPADDLE_ADMISSION_WORKER_GATE_H_
--- /dev/null
+++ b/src/boragepaddle/catalog/worker_directory.cc
@@ -0,0 +1,70 @@
+#include "boragepaddle/catalog/worker_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragepaddle::catalog {
+
+void OnSourceFailure(WorkerDirectory& directory, absl::Time now) {
+  directory.outage_seen = now;
+}
+
+void PutWorker(WorkerDirectory& directory, WorkerEntry entry, absl::Time now) {
+  directory.revision = std::max(directory.revision, entry.revision);
+  const auto found = directory.entries.find(entry.instance);
+  if (found != directory.entries.end() &&
+      found->second.revision > entry.revision) {
+    return;
+  }
+  entry.seen_at = now;
+  directory.entries[entry.instance] = std::move(entry);
+  ++directory.generation;
+}
+
+void RemoveWorker(WorkerDirectory& directory,
+                  absl::string_view instance,
+                  uint64_t revision,
+                  absl::Time now) {
+  directory.revision = std::max(directory.revision, revision);
+  const auto found = directory.entries.find(instance);
+  if (found == directory.entries.end() || found->second.revision > revision) {
+    return;
+  }
+  ++directory.generation;
+  const absl::Time grace_end =
+      directory.outage_seen + directory.settings.return_time;
+  // A worker that reported its leaving does not come back.
+  if (now >= grace_end || found->second.draining) {
+    directory.entries.erase(found);
+    return;
+  }
+  found->second.gone_at = std::min(found->second.gone_at, grace_end);
+}
+
+bool ExpireWorkers(WorkerDirectory& directory, absl::Time now) {
+  const size_t before = directory.entries.size();
+  for (auto entry = directory.entries.begin();
+       entry != directory.entries.end();) {
+    entry = entry->second.gone_at <= now ? directory.entries.erase(entry)
+                                         : std::next(entry);
+  }
+  const bool changed = directory.entries.size() != before;
+  directory.generation += changed ? 1 : 0;
+  return changed;
+}
+
+const WorkerEntry* FindByAddress(const WorkerDirectory& directory,
+                                 absl::string_view address) {
+  const WorkerEntry* newest = nullptr;
+  for (const auto& [instance, entry] : directory.entries) {
+    if (entry.address == address &&
+        (newest == nullptr || entry.started_ms > newest->started_ms ||
+         (entry.started_ms == newest->started_ms &&
+          entry.revision > newest->revision))) {
+      newest = &entry;
+    }
+  }
+  return newest;
+}
+
+}  // namespace boragepaddle::catalog
--- a/src/boragepaddle/platform/platform_answer.cc
+++ b/src/boragepaddle/config_service/platform_answer.cc
@@ -1,10 +1,10 @@
-#include "boragepaddle/platform/platform_answer.h"
+#include "boragepaddle/config_service/platform_answer.h"
 
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
-namespace boragepaddle::platform {
+namespace boragepaddle::config_service {
 namespace {
 
 using nlohmann::json;
@@ -85,4 +85,4 @@
   return answer;
 }
 
-}  // namespace boragepaddle::platform
+}  // namespace boragepaddle::config_service
--- a/src/boragepaddle/platform/platform_answer.h
+++ b/src/boragepaddle/config_service/platform_answer.h
@@ -1,12 +1,12 @@
-#ifndef BORAGEPADDLE_PLATFORM_PLATFORM_ANSWER_H_
-#define BORAGEPADDLE_PLATFORM_PLATFORM_ANSWER_H_
+#ifndef BORAGEPADDLE_CONFIG_SERVICE_PLATFORM_ANSWER_H_
+#define BORAGEPADDLE_CONFIG_SERVICE_PLATFORM_ANSWER_H_
 
 #include "absl/strings/string_view.h"
 #include "boragepaddle/base/result.h"
+#include "boragepaddle/config_service/platform_error.h"
 #include "boragepaddle/node/control_event.h"
-#include "boragepaddle/platform/platform_error.h"
 
-namespace boragepaddle::platform {
+namespace boragepaddle::config_service {
 
 /// Reads `{"revision": n, "files": {name: text}}`; never throws.
 base::Result<node::PlatformConfig, PlatformError> ParseConfigAnswer(
@@ -18,6 +18,6 @@
 base::Result<node::PlatformList, PlatformError> ParseListAnswer(
     absl::string_view body);
 
-}  // namespace boragepaddle::platform
+}  // namespace boragepaddle::config_service
 
-#endif  // BORAGEPADDLE_PLATFORM_PLATFORM_ANSWER_H_
+#endif  // BORAGEPADDLE_CONFIG_SERVICE_PLATFORM_ANSWER_H_
--- a/src/boragepaddle/platform/platform_client.cc
+++ b/src/boragepaddle/config_service/platform_client.cc
@@ -1,4 +1,4 @@
-#include "boragepaddle/platform/platform_client.h"
+#include "boragepaddle/config_service/platform_client.h"
 
 #include <httplib.h>
 
@@ -6,7 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 
-namespace boragepaddle::platform {
+namespace boragepaddle::config_service {
 namespace {
 
 constexpr int kStatusOk = 200;
@@ -76,4 +76,4 @@
   this->impl->Interrupt();
 }
 
-}  // namespace boragepaddle::platform
+}  // namespace boragepaddle::config_service
--- a/src/boragepaddle/platform/platform_client.h
+++ b/src/boragepaddle/config_service/platform_client.h
@@ -1,5 +1,5 @@
-#ifndef BORAGEPADDLE_PLATFORM_PLATFORM_CLIENT_H_
-#define BORAGEPADDLE_PLATFORM_PLATFORM_CLIENT_H_
+#ifndef BORAGEPADDLE_CONFIG_SERVICE_PLATFORM_CLIENT_H_
+#define BORAGEPADDLE_CONFIG_SERVICE_PLATFORM_CLIENT_H_
 
 #include <cstdint>
 #include <memory>
@@ -8,9 +8,9 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "boragepaddle/base/result.h"
-#include "boragepaddle/platform/platform_error.h"
+#include "boragepaddle/config_service/platform_error.h"
 
-namespace boragepaddle::platform {
+namespace boragepaddle::config_service {
 
 /// Where the platform is and who asks.
 struct ClientSettings {
@@ -42,6 +42,6 @@
   std::unique_ptr<Impl> impl;
 };
 
-}  // namespace boragepaddle::platform
+}  // namespace boragepaddle::config_service
 
-#endif  // BORAGEPADDLE_PLATFORM_PLATFORM_CLIENT_H_
+#endif  // BORAGEPADDLE_CONFIG_SERVICE_PLATFORM_CLIENT_H_
--- a/src/boragepaddle/platform/platform_error.cc
+++ b/src/boragepaddle/config_service/platform_error.cc
@@ -1,6 +1,6 @@
-#include "boragepaddle/platform/platform_error.h"
+#include "boragepaddle/config_service/platform_error.h"
 
-namespace boragepaddle::platform {
+namespace boragepaddle::config_service {
 
 absl::string_view ToString(PlatformErrorCode code) {
   switch (code) {
@@ -18,4 +18,4 @@
   return "invalid";
 }
 
-}  // namespace boragepaddle::platform
+}  // namespace boragepaddle::config_service
--- a/src/boragepaddle/platform/watch_thread.cc
+++ b/src/boragepaddle/config_service/watch_thread.cc
@@ -1,9 +1,9 @@
-#include "boragepaddle/platform/watch_thread.h"
+#include "boragepaddle/config_service/watch_thread.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace boragepaddle::platform {
+namespace boragepaddle::config_service {
 namespace {
 
 // The platform ends a watch without news after 30 s.
@@ -152,4 +152,4 @@
   this->mutex.AwaitWithTimeout(absl::Condition(&this->stopping), duration);
 }
 
-}  // namespace boragepaddle::platform
+}  // namespace boragepaddle::config_service
--- a/src/boragepaddle/platform/watch_thread.h
+++ b/src/boragepaddle/config_service/watch_thread.h
@@ -1,5 +1,5 @@
-#ifndef BORAGEPADDLE_PLATFORM_WATCH_THREAD_H_
-#define BORAGEPADDLE_PLATFORM_WATCH_THREAD_H_
+#ifndef BORAGEPADDLE_CONFIG_SERVICE_WATCH_THREAD_H_
+#define BORAGEPADDLE_CONFIG_SERVICE_WATCH_THREAD_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,10 +11,10 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "boragepaddle/base/result.h"
-#include "boragepaddle/platform/platform_client.h"
-#include "boragepaddle/platform/platform_error.h"
+#include "boragepaddle/config_service/platform_client.h"
+#include "boragepaddle/config_service/platform_error.h"
 
-namespace boragepaddle::platform {
+namespace boragepaddle::config_service {
 
 /// Requests and failures since the start.
 struct WatchCounters {
@@ -79,6 +79,6 @@
   std::thread thread;
 };
 
-}  // namespace boragepaddle::platform
+}  // namespace boragepaddle::config_service
 
-#endif  // BORAGEPADDLE_PLATFORM_WATCH_THREAD_H_
+#endif  // BORAGEPADDLE_CONFIG_SERVICE_WATCH_THREAD_H_
--- a/src/boragepaddle/daemon/control_loop.cc
+++ b/src/boragepaddle/daemon/control_loop.cc
@@ -6,8 +6,8 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
+#include "boragepaddle/config_service/platform_answer.h"
 #include "boragepaddle/daemon/random_id.h"
-#include "boragepaddle/platform/platform_answer.h"
 #include "boragepaddle/transport/clock.h"
 
 namespace boragepaddle::daemon {
@@ -22,9 +22,9 @@
   return {settings.vm_id, settings.availability_zone, settings.seed_peers};
 }
 
-platform::ClientSettings ToClientSettings(
+config_service::ClientSettings ToClientSettings(
     const schema::NodeSettings& settings) {
-  platform::ClientSettings client;
+  config_service::ClientSettings client;
   client.address = settings.platform_address;
   client.availability_zone = settings.availability_zone;
   return client;
@@ -62,12 +62,12 @@
           {"bytes_received_per_s", rates.bytes_received_per_s}};
 }
 
-nlohmann::json ToJson(const platform::WatchCounters& counters) {
+nlohmann::json ToJson(const config_service::WatchCounters& counters) {
   nlohmann::json json = {{"requests", counters.requests},
                          {"failures", counters.failures}};
   if (counters.failures > 0) {
     json["last_failure"] =
-        std::string(platform::ToString(counters.last_failure));
+        std::string(config_service::ToString(counters.last_failure));
   }
   return json;
 }
@@ -93,8 +93,8 @@
           ToClientSettings(settings),
           "/v1/config",
           [this](absl::string_view body)
-              -> base::Result<uint64_t, platform::PlatformError> {
-            auto answer = platform::ParseConfigAnswer(body);
+              -> base::Result<uint64_t, config_service::PlatformError> {
+            auto answer = config_service::ParseConfigAnswer(body);
             if (!answer.has_value()) {
               return answer.error();
             }
@@ -107,8 +107,8 @@
           ToClientSettings(settings),
           "/v1/vms",
           [this](absl::string_view body)
-              -> base::Result<uint64_t, platform::PlatformError> {
-            auto answer = platform::ParseListAnswer(body);
+              -> base::Result<uint64_t, config_service::PlatformError> {
+            auto answer = config_service::ParseListAnswer(body);
             if (!answer.has_value()) {
               return answer.error();
             }
--- a/src/boragepaddle/daemon/control_loop.h
+++ b/src/boragepaddle/daemon/control_loop.h
@@ -11,12 +11,12 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "boragepaddle/config_service/watch_thread.h"
 #include "boragepaddle/daemon/control_links.h"
 #include "boragepaddle/daemon/logger.h"
 #include "boragepaddle/daemon/rule_book.h"
 #include "boragepaddle/daemon/traffic_window.h"
 #include "boragepaddle/node/control.h"
-#include "boragepaddle/platform/watch_thread.h"
 #include "boragepaddle/schema/settings.h"
 #include "boragepaddle/transport/peer_link.h"
 
@@ -87,8 +87,8 @@
   std::deque<node::ControlEvent> queue ABSL_GUARDED_BY(mutex);
   Published published ABSL_GUARDED_BY(mutex);
   ControlLinks links;
-  platform::WatchThread config_watch;
-  platform::WatchThread list_watch;
+  config_service::WatchThread config_watch;
+  config_service::WatchThread list_watch;
   std::thread thread;
 };
 
--- /dev/null
+++ b/src/boragepaddle/event/http_get.cc
@@ -0,0 +1,170 @@
+#include "boragepaddle/event/http_get.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/optional/optional.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace boragepaddle::event {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+constexpr uint64_t kMaxAnswerBytes = 16u << 20;
+
+}  // namespace
+
+/// One connection to the server with at most one GET on it.
+class GetAttempt : public std::enable_shared_from_this<GetAttempt> {
+ public:
+  GetAttempt(boost::asio::io_context& loop, const Tcp::endpoint& server)
+      : server(server), socket(loop), timer(loop) {}
+
+  bool reusable() const {
+    return this->connected && !this->closed && !this->callback;
+  }
+
+  void Run(absl::string_view target,
+           absl::Duration timeout,
+           HttpGet::Callback done) {
+    this->callback = std::move(done);
+    this->request = {http::verb::get,
+                     boost::beast::string_view(target.data(), target.size()),
+                     kHttp11};
+    this->request.set(http::field::host,
+                      absl::StrCat(this->server.address().to_string(), ":",
+                                   this->server.port()));
+    auto self = this->shared_from_this();
+    this->timer.expires_after(absl::ToChronoNanoseconds(timeout));
+    this->timer.async_wait([self](const boost::system::error_code& error) {
+      if (!error) {
+        self->Fail();
+      }
+    });
+    if (this->connected) {
+      this->Write();
+      return;
+    }
+    this->socket.async_connect(this->server,
+                               [self](const boost::system::error_code& error) {
+                                 if (error) {
+                                   self->Fail();
+                                   return;
+                                 }
+                                 self->connected = true;
+                                 SetLiveness(self->socket);
+                                 self->Write();
+                               });
+  }
+
+  void Drop() {
+    this->callback = nullptr;
+    this->Close();
+  }
+
+ private:
+  void Write() {
+    auto self = this->shared_from_this();
+    http::async_write(this->socket, this->request,
+                      [self](const boost::system::error_code& error, size_t) {
+                        if (error) {
+                          self->Fail();
+                          return;
+                        }
+                        self->Read();
+                      });
+  }
+
+  void Read() {
+    this->parser.emplace();
+    this->parser->body_limit(kMaxAnswerBytes);
+    auto self = this->shared_from_this();
+    http::async_read(this->socket, this->buffer, *this->parser,
+                     [self](const boost::system::error_code& error, size_t) {
+                       if (error) {
+                         self->Fail();
+                         return;
+                       }
+                       self->Finish();
+                     });
+  }
+
+  void Finish() {
+    this->timer.cancel();
+    auto message = this->parser->release();
+    if (!message.keep_alive() || this->buffer.size() > 0) {
+      this->Close();
+    }
+    HttpGet::Callback done = std::move(this->callback);
+    this->callback = nullptr;
+    if (done) {
+      done(HttpGetResult{message.result_int(), std::move(message.body())});
+    }
+  }
+
+  void Fail() {
+    HttpGet::Callback done = std::move(this->callback);
+    this->callback = nullptr;
+    this->Close();
+    if (done) {
+      done(HttpGetResult{});
+    }
+  }
+
+  void Close() {
+    if (this->closed) {
+      return;
+    }
+    this->closed = true;
+    this->timer.cancel();
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+  }
+
+  const Tcp::endpoint server;
+  Tcp::socket socket;
+  boost::asio::steady_timer timer;
+  boost::beast::flat_buffer buffer;
+  http::request<http::empty_body> request;
+  boost::optional<http::response_parser<http::string_body>> parser;
+  HttpGet::Callback callback;
+  bool connected = false;
+  bool closed = false;
+};
+
+HttpGet::HttpGet(boost::asio::io_context& loop, const Tcp::endpoint& server)
+    : loop(loop), server(server) {}
+
+HttpGet::~HttpGet() {
+  this->Abort();
+}
+
+void HttpGet::Get(absl::string_view target,
+                  absl::Duration timeout,
+                  Callback callback) {
+  if (this->attempt != nullptr && !this->attempt->reusable()) {
+    this->Abort();
+  }
+  if (this->attempt == nullptr) {
+    this->attempt = std::make_shared<GetAttempt>(this->loop, this->server);
+  }
+  this->attempt->Run(target, timeout, std::move(callback));
+}
+
+void HttpGet::Abort() {
+  if (this->attempt != nullptr) {
+    this->attempt->Drop();
+    this->attempt = nullptr;
+  }
+}
+
+}  // namespace boragepaddle::event
--- /dev/null
+++ b/src/boragepaddle/event/http_get.h
@@ -0,0 +1,46 @@
+#ifndef BORAGEPADDLE_EVENT_HTTP_GET_H_
+#define BORAGEPADDLE_EVENT_HTTP_GET_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "boragepaddle/event/socket_options.h"
+
+namespace boragepaddle::event {
+
+/// Result of a GET. Status 0: no whole answer came.
+struct HttpGetResult {
+  uint32_t status = 0;
+  std::string body;
+};
+
+class GetAttempt;
+
+/// Sends one GET at a time on a kept connection.
+class HttpGet {
+ public:
+  using Callback = std::function<void(HttpGetResult)>;
+
+  HttpGet(boost::asio::io_context& loop, const Tcp::endpoint& server);
+  ~HttpGet();
+
+  /// A call in progress is dropped without its callback.
+  void Get(absl::string_view target, absl::Duration timeout, Callback callback);
+  void Abort();
+
+ private:
+  boost::asio::io_context& loop;
+  const Tcp::endpoint server;
+  /// Null, or connected and idle, or with the GET in progress.
+  std::shared_ptr<GetAttempt> attempt;
+};
+
+}  // namespace boragepaddle::event
+
+#endif  // BORAGEPADDLE_EVENT_HTTP_GET_H_
--- /dev/null
+++ b/src/boragepaddle/event/http_server.cc
@@ -0,0 +1,88 @@
+#include "boragepaddle/event/http_server.h"
+
+#include <utility>
+#include <vector>
+
+#include "boragepaddle/event/server_connection.h"
+
+namespace boragepaddle::event {
+
+namespace {
+
+/// Connections that wait to be accepted. A full queue makes the kernel drop
+/// the opening packet, which is sent again only after a second.
+constexpr int kListenBacklog = 1024;
+
+}  // namespace
+
+HttpServer::HttpServer(boost::asio::io_context& loop, Handler handler)
+    : loop(loop), handler(std::move(handler)), acceptor(loop) {}
+
+HttpServer::~HttpServer() = default;
+
+boost::system::error_code HttpServer::Listen(const Tcp::endpoint& endpoint) {
+  boost::system::error_code error;
+  this->acceptor.open(endpoint.protocol(), error);
+  if (error) {
+    return error;
+  }
+  this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  this->acceptor.bind(endpoint, error);
+  if (error) {
+    return error;
+  }
+  this->acceptor.listen(kListenBacklog, error);
+  if (!error) {
+    this->Accept();
+  }
+  return error;
+}
+
+void HttpServer::Accept() {
+  this->acceptor.async_accept([this](const boost::system::error_code& error,
+                                     Tcp::socket socket) {
+    if (this->stopped) {
+      return;
+    }
+    if (!error && this->open.size() < this->limits_in_force.max_connections) {
+      auto connection =
+          std::make_shared<ServerConnection>(*this, std::move(socket));
+      this->open.insert(connection);
+      connection->Start();
+    }
+    this->Accept();
+  });
+}
+
+void HttpServer::StartClosing() {
+  this->is_closing = true;
+}
+
+void HttpServer::StopListening() {
+  this->stopped = true;
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
+  const std::vector<std::shared_ptr<ServerConnection>> all(this->open.begin(),
+                                                           this->open.end());
+  for (const auto& connection : all) {
+    connection->CloseIfIdle();
+  }
+}
+
+void HttpServer::Tick(absl::Time now) {
+  const std::vector<std::shared_ptr<ServerConnection>> all(this->open.begin(),
+                                                           this->open.end());
+  for (const auto& connection : all) {
+    connection->Tick(now);
+  }
+}
+
+size_t HttpServer::Busy() const {
+  size_t count = 0;
+  for (const auto& connection : this->open) {
+    count += connection->busy() ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace boragepaddle::event
--- /dev/null
+++ b/src/boragepaddle/event/peer_channel.cc
@@ -0,0 +1,211 @@
+#include "boragepaddle/event/peer_channel.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+#include <cstring>
+#include <utility>
+
+#include "boragepaddle/event/clock.h"
+
+namespace boragepaddle::event {
+
+namespace {
+
+constexpr size_t kLengthBytes = 4;
+
+/// Largest frame; a larger one is taken for damage.
+constexpr uint32_t kMaxFrameBytes = 72u << 20;
+
+/// Bytes that may wait for a slow peer.
+constexpr size_t kMaxOutgoingBytes = 16u << 20;
+
+/// A connection attempt is given up after this time.
+constexpr absl::Duration kConnectTime = absl::Seconds(1);
+
+/// Silence after which a heartbeat is sent, and after which the channel is
+/// taken for dead. The second is long enough for a node with little processor
+/// time to answer.
+constexpr absl::Duration kHeartbeatAfter = absl::Milliseconds(700);
+constexpr absl::Duration kDeadAfter = absl::Milliseconds(2200);
+
+}  // namespace
+
+PeerChannel::PeerChannel(boost::asio::io_context& loop,
+                         const PeerChannelEvents& events)
+    : loop(loop),
+      events(events),
+      socket(loop),
+      created(BootNow()),
+      last_heard(created),
+      last_heartbeat(created),
+      last_tick(created) {}
+
+void PeerChannel::Adopt(Tcp::socket accepted) {
+  this->socket = std::move(accepted);
+  this->OnOpened();
+}
+
+void PeerChannel::Connect(const Tcp::endpoint& endpoint) {
+  auto self = this->shared_from_this();
+  this->socket.async_connect(endpoint,
+                             [self](const boost::system::error_code& error) {
+                               if (self->closed) {
+                                 return;
+                               }
+                               if (error) {
+                                 self->Close();
+                                 return;
+                               }
+                               self->OnOpened();
+                             });
+}
+
+void PeerChannel::OnOpened() {
+  this->opened = true;
+  this->last_heard = BootNow();
+  SetLiveness(this->socket);
+  this->events.on_open(this->shared_from_this());
+  this->Read();
+  if (!this->outgoing.empty() && !this->writing) {
+    this->Write();
+  }
+}
+
+bool PeerChannel::Send(const schema::Message& message) {
+  if (this->closed || this->outgoing.size() > kMaxOutgoingBytes) {
+    return false;
+  }
+  const std::string payload = schema::Encode(message);
+  const uint32_t length =
+      boost::endian::native_to_big(static_cast<uint32_t>(payload.size()));
+  this->outgoing.append(reinterpret_cast<const char*>(&length), kLengthBytes);
+  this->outgoing.append(payload);
+  if (this->opened && !this->writing) {
+    // Frames of one turn of the event loop leave in one write.
+    this->writing = true;
+    boost::asio::post(this->loop,
+                      [self = this->shared_from_this()] { self->Write(); });
+  }
+  return true;
+}
+
+void PeerChannel::Write() {
+  if (this->closed || this->outgoing.empty()) {
+    this->writing = false;
+    return;
+  }
+  this->writing = true;
+  this->in_transit.clear();
+  this->in_transit.swap(this->outgoing);
+  auto self = this->shared_from_this();
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->in_transit),
+      [self](const boost::system::error_code& error, size_t) {
+        if (error) {
+          self->writing = false;
+          self->Close();
+          return;
+        }
+        self->Write();
+      });
+}
+
+void PeerChannel::Read() {
+  auto self = this->shared_from_this();
+  this->socket.async_read_some(
+      boost::asio::buffer(this->chunk),
+      [self](const boost::system::error_code& error, size_t count) {
+        if (self->closed) {
+          return;
+        }
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->last_heard = BootNow();
+        self->received.append(self->chunk.data(), count);
+        self->TakeFrames();
+        if (!self->closed) {
+          self->Read();
+        }
+      });
+}
+
+void PeerChannel::TakeFrames() {
+  size_t position = 0;
+  while (!this->closed && this->received.size() - position >= kLengthBytes) {
+    uint32_t length = 0;
+    std::memcpy(&length, this->received.data() + position, kLengthBytes);
+    length = boost::endian::big_to_native(length);
+    if (length > kMaxFrameBytes) {
+      this->Close();
+      return;
+    }
+    if (this->received.size() - position - kLengthBytes < length) {
+      break;
+    }
+    auto message = schema::Decode(absl::string_view(
+        this->received.data() + position + kLengthBytes, length));
+    position += kLengthBytes + length;
+    if (!message) {
+      this->Close();
+      return;
+    }
+    if (const auto* beat = std::get_if<schema::Heartbeat>(&message.value())) {
+      if (!beat->reply) {
+        this->Send(schema::Heartbeat{true});
+      }
+      continue;
+    }
+    this->events.on_message(this->shared_from_this(), message.value());
+  }
+  this->received.erase(0, position);
+}
+
+void PeerChannel::Tick(absl::Time now, bool waiting) {
+  if (this->closed) {
+    return;
+  }
+  const bool was_paused = now - this->last_tick > kHeartbeatAfter;
+  this->last_tick = now;
+  if (was_paused) {
+    // Silence during a pause of this process says nothing about the peer.
+    this->last_heard = now;
+    this->created = this->opened ? this->created : now;
+  }
+  if (!this->opened) {
+    if (now - this->created > kConnectTime) {
+      this->Close();
+    }
+    return;
+  }
+  if (!waiting) {
+    this->last_heard = std::max(this->last_heard, now - kHeartbeatAfter);
+    return;
+  }
+  if (now - this->last_heard > kDeadAfter) {
+    this->Close();
+    return;
+  }
+  if (now - this->last_heard > kHeartbeatAfter &&
+      now - this->last_heartbeat > kHeartbeatAfter) {
+    this->last_heartbeat = now;
+    this->Send(schema::Heartbeat{false});
+  }
+}
+
+void PeerChannel::Close() {
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+  boost::asio::post(this->loop, [self = this->shared_from_this()] {
+    self->events.on_closed(self);
+  });
+}
+
+}  // namespace boragepaddle::event
--- /dev/null
+++ b/src/boragepaddle/event/server_connection.cc
@@ -0,0 +1,370 @@
+#include "boragepaddle/event/server_connection.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+#include "boragepaddle/event/clock.h"
+
+namespace boragepaddle::event {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+
+/// Read at once from a client whose answer has been written.
+constexpr size_t kLingerBytes = 4096;
+
+/// Longest time that a client may take to close after the last answer.
+constexpr absl::Duration kLingerTime = absl::Seconds(1);
+
+absl::string_view ToView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+boost::beast::string_view ToBeast(absl::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/// True if the Connection fields name the field.
+bool IsNamedByConnection(const http::fields& fields, absl::string_view name) {
+  const auto range = fields.equal_range(http::field::connection);
+  for (auto field = range.first; field != range.second; ++field) {
+    for (const absl::string_view token :
+         absl::StrSplit(ToView(field->value()), ',')) {
+      if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(token), name)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+HttpRequest MakeRequest(http::request<http::string_body>& message) {
+  HttpRequest request;
+  request.method = std::string(ToView(message.method_string()));
+  request.target = std::string(ToView(message.target()));
+  request.host = std::string(ToView(message[http::field::host]));
+  for (const auto& field : message) {
+    const absl::string_view name = ToView(field.name_string());
+    if (!IsConnectionField(name) && field.name() != http::field::host &&
+        !IsNamedByConnection(message, name)) {
+      request.fields.push_back(
+          {std::string(name), std::string(ToView(field.value()))});
+    }
+  }
+  request.body = std::move(message.body());
+  request.received = BootNow();
+  return request;
+}
+
+uint32_t StatusOf(const boost::system::error_code& error) {
+  if (error == http::error::header_limit) {
+    return 431;
+  }
+  return error == http::error::body_limit ? 413 : 400;
+}
+
+bool IsMalformed(const boost::system::error_code& error) {
+  static const auto& category =
+      make_error_code(http::error::end_of_stream).category();
+  return error.category() == category && error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
+
+}  // namespace
+
+/// The exchange that the handler holds. It outlives its connection.
+class ConnectionExchange : public HttpExchange {
+ public:
+  ConnectionExchange(std::shared_ptr<ServerConnection> connection,
+                     uint64_t number,
+                     HttpRequest request)
+      : connection(std::move(connection)),
+        number(number),
+        message(std::move(request)) {}
+
+  const HttpRequest& request() const override { return this->message; }
+  HttpRequest& mutable_request() override { return this->message; }
+
+  void Reply(HttpReply reply) override {
+    this->connection->Answer(this->number, std::move(reply));
+  }
+
+  void SetOnAbandoned(std::function<void()> callback) override {
+    if (this->connection->exchange_number == this->number) {
+      this->connection->on_abandoned = std::move(callback);
+    }
+  }
+
+ private:
+  std::shared_ptr<ServerConnection> connection;
+  uint64_t number;
+  HttpRequest message;
+};
+
+ServerConnection::ServerConnection(HttpServer& server, Tcp::socket socket)
+    : server(server), socket(std::move(socket)) {}
+
+void ServerConnection::Start() {
+  SetLiveness(this->socket);
+  this->ReadHead();
+}
+
+void ServerConnection::ReadHead() {
+  const HttpServerLimits& limits = this->server.limits();
+  this->phase = Phase::kIdle;
+  this->idle_since = BootNow();
+  this->head_since = absl::InfiniteFuture();
+  this->parser.emplace();
+  this->parser->header_limit(static_cast<uint32_t>(limits.max_header_bytes));
+  this->parser->body_limit(limits.max_body_bytes);
+  auto self = this->shared_from_this();
+  http::async_read_header(this->socket, this->buffer, *this->parser,
+                          [self](const boost::system::error_code& error,
+                                 size_t) { self->OnHead(error); });
+}
+
+void ServerConnection::OnHead(const boost::system::error_code& error) {
+  if (this->closed || this->phase != Phase::kIdle) {
+    return;
+  }
+  if (error) {
+    this->OnReadError(error);
+    return;
+  }
+  this->phase = Phase::kReading;
+  this->last_progress = BootNow();
+  if (this->parser->is_done()) {
+    this->HandOver();
+    return;
+  }
+  const auto expect = this->parser->get()[http::field::expect];
+  if (absl::EqualsIgnoreCase(ToView(expect), "100-continue")) {
+    static constexpr absl::string_view kContinue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    boost::system::error_code ignored;
+    // A client that cannot take these few bytes fails on the body instead.
+    this->socket.send(boost::asio::buffer(kContinue.data(), kContinue.size()),
+                      0, ignored);
+  }
+  auto self = this->shared_from_this();
+  http::async_read(this->socket, this->buffer, *this->parser,
+                   [self](const boost::system::error_code& error, size_t) {
+                     self->OnBody(error);
+                   });
+}
+
+void ServerConnection::OnBody(const boost::system::error_code& error) {
+  if (this->closed) {
+    return;
+  }
+  if (error) {
+    this->OnReadError(error);
+    return;
+  }
+  this->HandOver();
+}
+
+void ServerConnection::OnReadError(const boost::system::error_code& error) {
+  if (IsMalformed(error)) {
+    this->Refuse(StatusOf(error));
+    return;
+  }
+  this->Close();
+}
+
+void ServerConnection::HandOver() {
+  auto message = this->parser->release();
+  const bool valid_target = !message.target().empty() &&
+                            message.target().front() == '/' &&
+                            message.count(http::field::host) == 1;
+  if (!valid_target) {
+    this->Refuse(400);
+    return;
+  }
+  this->keep_alive = message.keep_alive();
+  this->head_request = message.method() == http::verb::head;
+  this->phase = Phase::kAnswering;
+  const uint64_t number = ++this->exchange_number;
+  this->on_abandoned = nullptr;
+  auto exchange = std::make_shared<ConnectionExchange>(
+      this->shared_from_this(), number, MakeRequest(message));
+  this->server.handler(exchange);
+  if (this->phase == Phase::kAnswering && this->exchange_number == number) {
+    this->WatchClient(number);
+  }
+}
+
+void ServerConnection::WatchClient(uint64_t exchange) {
+  if (this->buffer.size() > 0) {
+    // The next request is already here; a close is seen after it.
+    return;
+  }
+  auto self = this->shared_from_this();
+  this->socket.async_wait(
+      Tcp::socket::wait_read,
+      [self, exchange](const boost::system::error_code& error) {
+        if (error || self->closed || self->phase != Phase::kAnswering ||
+            self->exchange_number != exchange) {
+          return;
+        }
+        switch (PeekSocket(self->socket)) {
+          case SocketSign::kClosed:
+            self->Abandon();
+            break;
+          case SocketSign::kNothing:
+            self->WatchClient(exchange);
+            break;
+          case SocketSign::kData:
+            break;
+        }
+      });
+}
+
+void ServerConnection::Answer(uint64_t exchange, HttpReply reply) {
+  if (this->closed || this->phase != Phase::kAnswering ||
+      this->exchange_number != exchange) {
+    return;
+  }
+  this->on_abandoned = nullptr;
+  const bool keep = this->keep_alive && !reply.close && !this->server.closing();
+  this->WriteReply(std::move(reply), keep);
+}
+
+void ServerConnection::WriteReply(HttpReply reply, bool keep) {
+  this->phase = Phase::kWriting;
+  this->keep_alive = keep;
+  this->last_progress = BootNow();
+  this->response.emplace();
+  this->response->version(kHttp11);
+  this->response->result(reply.status);
+  for (const schema::HttpField& field : reply.fields) {
+    if (!IsConnectionField(field.name)) {
+      this->response->insert(ToBeast(field.name), ToBeast(field.value));
+    }
+  }
+  this->response->keep_alive(keep);
+  if (this->head_request) {
+    this->response->content_length(reply.body.size());
+  } else {
+    this->response->body() = std::move(reply.body);
+    this->response->prepare_payload();
+  }
+  auto self = this->shared_from_this();
+  http::async_write(this->socket, *this->response,
+                    [self](const boost::system::error_code& error, size_t) {
+                      self->OnWritten(error);
+                    });
+}
+
+void ServerConnection::OnWritten(const boost::system::error_code& error) {
+  if (this->closed) {
+    return;
+  }
+  this->response.reset();
+  if (error) {
+    this->Close();
+    return;
+  }
+  if (!this->keep_alive) {
+    this->Linger();
+    return;
+  }
+  this->ReadHead();
+}
+
+// A socket that is closed with unread bytes resets the connection, and the
+// client may lose the answer. So the rest is read and dropped first.
+void ServerConnection::Linger() {
+  if (this->phase != Phase::kLingering) {
+    this->phase = Phase::kLingering;
+    this->last_progress = BootNow();
+    boost::system::error_code ignored;
+    this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  }
+  this->buffer.clear();
+  auto self = this->shared_from_this();
+  this->socket.async_read_some(
+      this->buffer.prepare(kLingerBytes),
+      [self](const boost::system::error_code& error, size_t) {
+        if (self->closed) {
+          return;
+        }
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->Linger();
+      });
+}
+
+void ServerConnection::Refuse(uint32_t status) {
+  HttpReply reply;
+  reply.status = status;
+  this->head_request = false;
+  this->WriteReply(std::move(reply), /*keep=*/false);
+}
+
+void ServerConnection::Abandon() {
+  auto callback = std::move(this->on_abandoned);
+  this->on_abandoned = nullptr;
+  this->Close();
+  if (callback) {
+    callback();
+  }
+}
+
+void ServerConnection::Close() {
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+  this->server.open.erase(this->shared_from_this());
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (this->phase == Phase::kIdle && this->buffer.size() == 0 &&
+      PeekSocket(this->socket) != SocketSign::kData) {
+    this->Close();
+  }
+}
+
+void ServerConnection::Tick(absl::Time now) {
+  const HttpServerLimits& limits = this->server.limits();
+  switch (this->phase) {
+    case Phase::kIdle:
+      if (this->buffer.size() > 0) {
+        this->head_since = std::min(this->head_since, now);
+      }
+      if (now - this->head_since > limits.header_timeout) {
+        this->Refuse(408);
+      } else if (this->buffer.size() == 0 &&
+                 now - this->idle_since > limits.idle_timeout) {
+        this->CloseIfIdle();
+      }
+      break;
+    case Phase::kReading:
+    case Phase::kWriting:
+      if (now - this->last_progress > limits.idle_timeout) {
+        this->Close();
+      }
+      break;
+    case Phase::kAnswering:
+      break;
+    case Phase::kLingering:
+      if (now - this->last_progress > kLingerTime) {
+        this->Close();
+      }
+      break;
+  }
+}
+
+}  // namespace boragepaddle::event
--- /dev/null
+++ b/src/boragepaddle/event/socket_options.cc
@@ -0,0 +1,70 @@
+#include "boragepaddle/event/socket_options.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <cerrno>
+
+#include "absl/strings/numbers.h"
+
+namespace boragepaddle::event {
+
+namespace {
+
+/// First keep-alive probe after this silence, and pause between probes.
+constexpr int kKeepAliveSeconds = 1;
+/// Unanswered probes after which the connection is dead.
+constexpr int kKeepAliveProbes = 2;
+/// Time for which sent bytes may stay unacknowledged.
+constexpr unsigned kUserTimeoutMs = 3000;
+
+void SetInt(int fd, int level, int option, int value) {
+  // Liveness is best effort: a platform without the option only notices a dead
+  // peer later, by the time-outs above the socket.
+  (void)setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+}  // namespace
+
+void SetLiveness(Tcp::socket& socket) {
+  const int fd = socket.native_handle();
+  SetInt(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetInt(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetInt(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds);
+  SetInt(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds);
+  SetInt(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetInt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+boost::optional<Tcp::endpoint> ParseEndpoint(absl::string_view address) {
+  const size_t colon = address.rfind(':');
+  if (colon == absl::string_view::npos) {
+    return boost::none;
+  }
+  uint32_t port = 0;
+  if (!absl::SimpleAtoi(address.substr(colon + 1), &port) || port > 65535) {
+    return boost::none;
+  }
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(
+      std::string(address.substr(0, colon)), error);
+  if (error) {
+    return boost::none;
+  }
+  return Tcp::endpoint(ip, static_cast<uint16_t>(port));
+}
+
+SocketSign PeekSocket(Tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t count =
+      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) {
+    return SocketSign::kData;
+  }
+  const bool nothing =
+      count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  return nothing ? SocketSign::kNothing : SocketSign::kClosed;
+}
+
+}  // namespace boragepaddle::event
--- /dev/null
+++ b/src/boragepaddle/event/worker_connection.cc
@@ -0,0 +1,254 @@
+#include "boragepaddle/event/worker_connection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "boragepaddle/event/clock.h"
+
+namespace boragepaddle::event {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+
+/// Largest answer that is taken from a worker.
+constexpr uint64_t kMaxAnswerBytes = 64u << 20;
+
+/// Late answers to earlier requests that are read over.
+constexpr uint32_t kMaxSkippedAnswers = 3;
+
+/// An idle connection is not used in the last part of its time, since the
+/// worker may close it while a request is under way.
+constexpr absl::Duration kIdleMargin = absl::Seconds(1);
+constexpr absl::Duration kDefaultIdle = absl::Seconds(4);
+
+absl::string_view ToView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+boost::beast::string_view ToBeast(absl::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/// Idle time that the worker grants in `Keep-Alive: timeout=N`.
+absl::Duration IdleTime(const http::fields& fields) {
+  for (absl::string_view part :
+       absl::StrSplit(ToView(fields[http::field::keep_alive]), ',')) {
+    const std::pair<absl::string_view, absl::string_view> pair =
+        absl::StrSplit(part, absl::MaxSplits('=', 1));
+    int64_t seconds = 0;
+    if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(pair.first),
+                               "timeout") &&
+        absl::SimpleAtoi(pair.second, &seconds)) {
+      return absl::Seconds(seconds);
+    }
+  }
+  return kDefaultIdle + kIdleMargin;
+}
+
+std::vector<schema::HttpField> CopyFields(const http::fields& fields) {
+  std::vector<schema::HttpField> copied;
+  for (const auto& field : fields) {
+    const absl::string_view name = ToView(field.name_string());
+    if (!IsConnectionField(name)) {
+      copied.push_back({std::string(name), std::string(ToView(field.value()))});
+    }
+  }
+  return copied;
+}
+
+}  // namespace
+
+WorkerConnection::WorkerConnection(WorkerPool& pool,
+                                   const Tcp::endpoint& worker)
+    : pool(pool), endpoint(worker), socket(pool.loop) {}
+
+void WorkerConnection::Run(uint64_t id,
+                           WorkerRequest message,
+                           WorkerPool::Done done) {
+  this->is_idle = false;
+  this->call_id = id;
+  this->request_id = std::move(message.request_id);
+  this->done = std::move(done);
+  this->sent_any = false;
+  this->written = false;
+  this->skipped = 0;
+  this->request.emplace();
+  this->request->version(kHttp11);
+  this->request->method_string(ToBeast(message.method));
+  this->request->target(ToBeast(message.target));
+  this->request->set(http::field::host, ToBeast(message.host));
+  for (const schema::HttpField& field : message.fields) {
+    this->request->insert(ToBeast(field.name), ToBeast(field.value));
+  }
+  this->request->body() = std::move(message.body);
+  this->request->prepare_payload();
+  if (this->connected) {
+    this->Write();
+    return;
+  }
+  this->Connect();
+}
+
+void WorkerConnection::Connect() {
+  auto self = this->shared_from_this();
+  this->socket.async_connect(
+      this->endpoint, [self](const boost::system::error_code& error) {
+        if (self->closed) {
+          return;
+        }
+        if (error) {
+          self->Finish(WorkerResult{WorkerEnd::kNotSent, 0, {}, {}},
+                       /*reusable=*/false);
+          return;
+        }
+        self->connected = true;
+        SetLiveness(self->socket);
+        self->Write();
+      });
+}
+
+void WorkerConnection::Write() {
+  this->sent_any = true;
+  this->sending = true;
+  auto self = this->shared_from_this();
+  http::async_write(this->socket, *this->request,
+                    [self](const boost::system::error_code& error, size_t) {
+                      self->sending = false;
+                      // An error shows in the read as well.
+                      self->written = !error;
+                    });
+  this->Read();
+}
+
+void WorkerConnection::Read() {
+  this->parser.emplace();
+  this->parser->body_limit(kMaxAnswerBytes);
+  if (this->request->method() == http::verb::head) {
+    this->parser->skip(true);
+  }
+  auto self = this->shared_from_this();
+  http::async_read(this->socket, this->buffer, *this->parser,
+                   [self](const boost::system::error_code& error, size_t) {
+                     self->OnRead(error);
+                   });
+}
+
+void WorkerConnection::OnRead(const boost::system::error_code& error) {
+  if (this->closed || this->is_idle) {
+    return;
+  }
+  if (error) {
+    static const auto& parse_errors =
+        make_error_code(http::error::end_of_stream).category();
+    const bool spoiled = error.category() == parse_errors &&
+                         error != http::error::end_of_stream &&
+                         error != http::error::partial_message;
+    this->Finish(
+        WorkerResult{
+            spoiled ? WorkerEnd::kSpoiled : WorkerEnd::kLost, 0, {}, {}},
+        /*reusable=*/false);
+    return;
+  }
+  this->OnAnswer();
+}
+
+bool WorkerConnection::IsEarlierRequest(absl::string_view id) const {
+  return this->earlier.contains(id);
+}
+
+void WorkerConnection::OnAnswer() {
+  const auto& message = this->parser->get();
+  if (message.result_int() / 100 == 1) {
+    this->Read();
+    return;
+  }
+  const absl::string_view answered =
+      ToView(message[ToBeast(this->pool.names.request_id)]);
+  const bool not_run = message.count(ToBeast(this->pool.names.not_run)) > 0;
+  if (answered != this->request_id && this->IsEarlierRequest(answered) &&
+      this->skipped < kMaxSkippedAnswers) {
+    // A second answer to an earlier request; the one wanted follows.
+    ++this->skipped;
+    this->Read();
+    return;
+  }
+  const bool foreign =
+      answered != this->request_id && !(answered.empty() && not_run);
+  if (foreign || message.count(http::field::content_encoding) > 0) {
+    this->Finish(WorkerResult{WorkerEnd::kSpoiled, 0, {}, {}},
+                 /*reusable=*/false);
+    return;
+  }
+  WorkerResult result;
+  result.end = not_run ? WorkerEnd::kNotRun : WorkerEnd::kAnswered;
+  result.status = message.result_int();
+  result.fields = CopyFields(message);
+  const bool reusable = message.keep_alive() && this->written &&
+                        !message.need_eof() && this->buffer.size() == 0;
+  this->reuse_until = BootNow() + IdleTime(message) - kIdleMargin;
+  result.body = std::move(this->parser->get().body());
+  this->Finish(std::move(result), reusable);
+}
+
+void WorkerConnection::Finish(WorkerResult result, bool reusable) {
+  auto self = this->shared_from_this();
+  WorkerPool::Done callback = std::move(this->done);
+  this->done = nullptr;
+  this->earlier.insert(this->request_id);
+  if (reusable) {
+    this->request.reset();
+    this->parser.reset();
+    this->is_idle = true;
+    this->pool.Release(self);
+    this->WatchIdle();
+  } else {
+    this->Close();
+  }
+  callback(std::move(result));
+}
+
+void WorkerConnection::WatchIdle() {
+  auto self = this->shared_from_this();
+  this->socket.async_wait(
+      Tcp::socket::wait_read,
+      [self, call = this->call_id](const boost::system::error_code& error) {
+        if (error || self->closed || !self->is_idle || self->call_id != call) {
+          return;
+        }
+        if (PeekSocket(self->socket) == SocketSign::kNothing) {
+          self->WatchIdle();
+          return;
+        }
+        // Closed by the worker, or bytes that belong to no request.
+        self->Close();
+      });
+}
+
+void WorkerConnection::Cancel() {
+  if (this->closed || !this->done) {
+    return;
+  }
+  const WorkerEnd end =
+      this->sent_any ? WorkerEnd::kCancelled : WorkerEnd::kNotSent;
+  this->Finish(WorkerResult{end, 0, {}, {}}, /*reusable=*/false);
+}
+
+void WorkerConnection::Close() {
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+  this->pool.Forget(this->shared_from_this());
+}
+
+}  // namespace boragepaddle::event
--- /dev/null
+++ b/src/boragepaddle/event/worker_connection.h
@@ -0,0 +1,73 @@
+#ifndef BORAGEPADDLE_EVENT_WORKER_CONNECTION_H_
+#define BORAGEPADDLE_EVENT_WORKER_CONNECTION_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/optional/optional.hpp>
+#include <memory>
+#include <string>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/time/time.h"
+#include "boragepaddle/event/worker_pool.h"
+
+namespace boragepaddle::event {
+
+/// One connection to the local worker.
+class WorkerConnection : public std::enable_shared_from_this<WorkerConnection> {
+ public:
+  WorkerConnection(WorkerPool& pool, const Tcp::endpoint& worker);
+
+  /// Sends a request on an idle or new connection.
+  void Run(uint64_t id, WorkerRequest request, WorkerPool::Done done);
+  /// Ends the request in progress.
+  void Cancel();
+  /// Closes without a result; only while idle.
+  void Close();
+  /// Watches an idle connection for bytes or a close by the worker.
+  void WatchIdle();
+
+  uint64_t id() const { return this->call_id; }
+  const Tcp::endpoint& worker() const { return this->endpoint; }
+  /// When an idle connection must not be used any more.
+  absl::Time usable_until() const { return this->reuse_until; }
+
+ private:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Connect();
+  void Write();
+  void Read();
+  void OnRead(const boost::system::error_code& error);
+  void OnAnswer();
+  void Finish(WorkerResult result, bool reusable);
+  bool IsEarlierRequest(absl::string_view request_id) const;
+
+  WorkerPool& pool;
+  const Tcp::endpoint endpoint;
+  Tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  boost::optional<Request> request;
+  boost::optional<Parser> parser;
+  WorkerPool::Done done;
+  uint64_t call_id = 0;
+  std::string request_id;
+  /// Requests that this connection carried before.
+  absl::flat_hash_set<std::string> earlier;
+  bool connected = false;
+  bool sending = false;
+  bool sent_any = false;
+  bool written = false;
+  bool closed = false;
+  bool is_idle = false;
+  uint32_t skipped = 0;
+  absl::Time reuse_until;
+};
+
+}  // namespace boragepaddle::event
+
+#endif  // BORAGEPADDLE_EVENT_WORKER_CONNECTION_H_
--- /dev/null
+++ b/src/boragepaddle/event/worker_pool.cc
@@ -0,0 +1,87 @@
+#include "boragepaddle/event/worker_pool.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "boragepaddle/event/worker_connection.h"
+
+namespace boragepaddle::event {
+
+WorkerPool::WorkerPool(boost::asio::io_context& loop,
+                       const WorkerFieldNames& names)
+    : loop(loop), names(names) {}
+
+WorkerPool::~WorkerPool() = default;
+
+void WorkerPool::SetWorker(const Tcp::endpoint& endpoint) {
+  if (this->worker == endpoint) {
+    return;
+  }
+  this->worker = endpoint;
+  const auto old = this->idle;
+  for (const auto& connection : old) {
+    connection->Close();
+  }
+}
+
+void WorkerPool::Send(uint64_t id, WorkerRequest request, Done done) {
+  // Deferred, so that `done` is never called from within Send.
+  boost::asio::post(this->loop, [this, id, request = std::move(request),
+                                 done = std::move(done)]() mutable {
+    this->Dispatch(id, std::move(request), std::move(done));
+  });
+}
+
+void WorkerPool::Dispatch(uint64_t id, WorkerRequest request, Done done) {
+  std::shared_ptr<WorkerConnection> connection;
+  if (this->idle.empty()) {
+    connection = std::make_shared<WorkerConnection>(*this, this->worker);
+    ++this->opened_count;
+  } else {
+    connection = this->idle.back();
+    this->idle.pop_back();
+  }
+  this->busy[id] = connection;
+  connection->Run(id, std::move(request), std::move(done));
+}
+
+void WorkerPool::Cancel(uint64_t id) {
+  // Deferred like Send, so that it finds a request that was sent just before.
+  boost::asio::post(this->loop, [this, id] {
+    const auto found = this->busy.find(id);
+    if (found != this->busy.end()) {
+      const auto connection = found->second;
+      connection->Cancel();
+    }
+  });
+}
+
+void WorkerPool::Tick(absl::Time now) {
+  const auto copy = this->idle;
+  for (const auto& connection : copy) {
+    if (connection->usable_until() <= now) {
+      connection->Close();
+    }
+  }
+}
+
+void WorkerPool::Release(const std::shared_ptr<WorkerConnection>& connection) {
+  this->busy.erase(connection->id());
+  if (connection->worker() == this->worker) {
+    this->idle.push_back(connection);
+    return;
+  }
+  connection->Close();
+}
+
+void WorkerPool::Forget(const std::shared_ptr<WorkerConnection>& connection) {
+  this->busy.erase(connection->id());
+  const auto found =
+      std::find(this->idle.begin(), this->idle.end(), connection);
+  if (found != this->idle.end()) {
+    this->idle.erase(found);
+  }
+}
+
+}  // namespace boragepaddle::event
--- /dev/null
+++ b/src/boragepaddle/platform/store_client.cc
@@ -0,0 +1,145 @@
+#include "boragepaddle/platform/store_client.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+
+namespace boragepaddle::platform {
+
+namespace {
+
+using event::SourceError;
+using event::SourceErrorCode;
+using event::SourcePage;
+using Json = nlohmann::json;
+
+/// For an answer to a read. The store answers in milliseconds; one that is
+/// slow is still better than none.
+constexpr absl::Duration kReadTime = absl::Seconds(2);
+
+/// Beyond the wait of a watch.
+constexpr absl::Duration kWatchMargin = absl::Seconds(2);
+
+constexpr uint32_t kOk = 200;
+constexpr uint32_t kGone = 410;
+
+/// Percent-encodes everything but letters, digits and a few marks.
+std::string QueryValue(absl::string_view text) {
+  std::string encoded;
+  for (const char c : text) {
+    if (absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '-' ||
+        c == '_' || c == '.') {
+      encoded.push_back(c);
+    } else {
+      absl::StrAppend(
+          &encoded, "%",
+          absl::Hex(static_cast<unsigned char>(c), absl::kZeroPad2));
+    }
+  }
+  return encoded;
+}
+
+uint64_t Unsigned(const Json& object, const char* name) {
+  const auto found = object.find(name);
+  return found != object.end() && found->is_number_unsigned()
+             ? found->get<uint64_t>()
+             : 0;
+}
+
+bool DecodeItem(const Json& object, schema::KeyValue* item) {
+  if (!object.is_object() || !object.contains("key") ||
+      !object["key"].is_string()) {
+    return false;
+  }
+  item->key = object["key"].get<std::string>();
+  item->revision = Unsigned(object, "revision");
+  const auto removed = object.find("removed");
+  item->removed =
+      removed != object.end() && removed->is_boolean() && removed->get<bool>();
+  const auto value = object.find("value");
+  if (value != object.end() && value->is_string()) {
+    // A value that is not base64 stays empty, which no document accepts.
+    absl::Base64Unescape(value->get<std::string>(), &item->value);
+  }
+  return true;
+}
+
+}  // namespace
+
+StoreClient::StoreClient(boost::asio::io_context& loop,
+                         const event::Tcp::endpoint& store)
+    : http(loop, store) {}
+
+void StoreClient::List(absl::string_view prefix,
+                       absl::string_view after_key,
+                       Callback callback) {
+  std::string target =
+      absl::StrCat("/boragepaddle/kv-range?prefix=", QueryValue(prefix));
+  if (!after_key.empty()) {
+    absl::StrAppend(&target, "&after=", QueryValue(after_key));
+  }
+  this->http.Get(target, kReadTime,
+                 [callback = std::move(callback)](event::HttpGetResult result) {
+                   callback(DecodePage(result.status, result.body));
+                 });
+}
+
+void StoreClient::Watch(absl::string_view prefix,
+                        uint64_t after_revision,
+                        absl::Duration wait,
+                        Callback callback) {
+  const std::string target = absl::StrCat(
+      "/boragepaddle/kv-watch?prefix=", QueryValue(prefix),
+      "&after=", after_revision, "&wait_ms=", absl::ToInt64Milliseconds(wait));
+  this->http.Get(target, wait + kWatchMargin,
+                 [callback = std::move(callback)](event::HttpGetResult result) {
+                   callback(DecodePage(result.status, result.body));
+                 });
+}
+
+void StoreClient::Abort() {
+  this->http.Abort();
+}
+
+base::Result<SourcePage, SourceError> DecodePage(uint32_t status,
+                                                 absl::string_view body) {
+  if (status == 0) {
+    return SourceError{SourceErrorCode::kUnreachable, status};
+  }
+  if (status == kGone) {
+    return SourceError{SourceErrorCode::kCompacted, status};
+  }
+  if (status != kOk) {
+    return SourceError{SourceErrorCode::kRefused, status};
+  }
+  const Json document = Json::parse(body.begin(), body.end(), nullptr,
+                                    /*allow_exceptions=*/false);
+  if (!document.is_object()) {
+    return SourceError{SourceErrorCode::kMalformed, status};
+  }
+  SourcePage page;
+  // The store's revision at the time of the answer.
+  page.as_of = Unsigned(document, "as_of");
+  const auto more = document.find("truncated");
+  page.more = more != document.end() && more->is_boolean() && more->get<bool>();
+  // A read calls them items, a watch events; both have the same form.
+  for (const char* list : {"items", "events"}) {
+    const auto found = document.find(list);
+    if (found == document.end() || !found->is_array()) {
+      continue;
+    }
+    for (const Json& object : *found) {
+      schema::KeyValue item;
+      if (!DecodeItem(object, &item)) {
+        return SourceError{SourceErrorCode::kMalformed, status};
+      }
+      page.items.push_back(std::move(item));
+    }
+  }
+  return page;
+}
+
+}  // namespace boragepaddle::platform
--- /dev/null
+++ b/src/boragepaddle/platform/store_client.h
@@ -0,0 +1,36 @@
+#ifndef BORAGEPADDLE_PLATFORM_STORE_CLIENT_H_
+#define BORAGEPADDLE_PLATFORM_STORE_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+
+#include "boragepaddle/event/http_get.h"
+#include "boragepaddle/event/key_value_source.h"
+
+namespace boragepaddle::platform {
+
+/// Reads the platform's metadata store over HTTP.
+class StoreClient : public event::KeyValueSource {
+ public:
+  StoreClient(boost::asio::io_context& loop, const event::Tcp::endpoint& store);
+
+  void List(absl::string_view prefix,
+            absl::string_view after_key,
+            Callback callback) override;
+  void Watch(absl::string_view prefix,
+             uint64_t after_revision,
+             absl::Duration wait,
+             Callback callback) override;
+  void Abort() override;
+
+ private:
+  event::HttpGet http;
+};
+
+/// Decodes the answer to a read of several keys or to a watch.
+base::Result<event::SourcePage, event::SourceError> DecodePage(
+    uint32_t status,
+    absl::string_view body);
+
+}  // namespace boragepaddle::platform
+
+#endif  // BORAGEPADDLE_PLATFORM_STORE_CLIENT_H_
--- /dev/null
+++ b/src/boragepaddle/proxy/entry.cc
@@ -0,0 +1,479 @@
+#include "boragepaddle/proxy/entry.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "boragepaddle/event/clock.h"
+
+namespace boragepaddle::proxy {
+
+namespace {
+
+using schema::Outcome;
+using schema::Reason;
+
+/// For a client that names no limit of its own.
+constexpr absl::Duration kDefaultTimeLeft = absl::Seconds(30);
+
+/// Randomizes waits, so that refused clients do not come back together.
+constexpr double kRetryAfterSpread = 0.5;
+
+absl::Duration TimeLeft(const event::HttpRequest& request,
+                        const HttpDialect& dialect) {
+  int64_t ms = 0;
+  if (!absl::SimpleAtoi(event::FieldValue(request.fields, dialect.time_left_ms),
+                        &ms) ||
+      ms < 0) {
+    return kDefaultTimeLeft;
+  }
+  return absl::Milliseconds(ms);
+}
+
+bool IsWorkerFailure(const schema::HttpAnswer& answer) {
+  return answer.outcome != Outcome::kCompleted || answer.status >= 500;
+}
+
+}  // namespace
+
+Entry::Entry(boost::asio::io_context& loop,
+             const NodeSettings& settings,
+             const HttpDialect& dialect,
+             const StoreState& store,
+             WorkerSide& local,
+             PeerNetwork& peers,
+             telemetry::EventLog& log)
+    : loop(loop),
+      settings(settings),
+      bounds(),
+      dialect(dialect),
+      store(store),
+      local(local),
+      peers(peers),
+      log(log),
+      random(std::random_device()()) {}
+
+void Entry::OnRequest(const std::shared_ptr<event::HttpExchange>& exchange) {
+  const event::HttpRequest& request = exchange->request();
+  if (this->store.routes == nullptr) {
+    this->AnswerEarly(exchange, 503, "no_configuration");
+    return;
+  }
+  const absl::string_view id =
+      event::FieldValue(request.fields, this->dialect.request_id);
+  if (id.empty()) {
+    this->AnswerEarly(exchange, 400, "no_request_id");
+    return;
+  }
+  const catalog::Route* route =
+      catalog::FindRoute(*this->store.routes, request.host, request.target);
+  if (route == nullptr) {
+    this->AnswerEarly(exchange, 404, "no_route");
+    return;
+  }
+  auto owned = std::make_unique<EntryCall>();
+  EntryCall& call = *owned;
+  call.id = this->next_id++;
+  call.exchange = exchange;
+  call.routes = this->store.routes;
+  call.route = route;
+  call.request_id = std::string(id);
+  call.arrived = request.received;
+  call.give_up_at =
+      call.arrived + std::min(TimeLeft(request, this->dialect), route->timeout);
+  const size_t target =
+      routing::NextTarget(this->splits[route->name], route->targets);
+  call.service = route->targets[target].service;
+  this->calls[call.id] = std::move(owned);
+  retry::CountRequest(this->budgets[call.service], this->BudgetSettings(),
+                      call.arrived);
+  exchange->SetOnAbandoned(
+      [this, call_id = call.id] { this->OnAbandoned(call_id); });
+  this->Attempt(call);
+}
+
+void Entry::AnswerEarly(const std::shared_ptr<event::HttpExchange>& exchange,
+                        uint32_t status,
+                        absl::string_view why) {
+  const event::HttpRequest& request = exchange->request();
+  event::HttpReply reply;
+  reply.status = status;
+  if (status == 503) {
+    reply.fields.push_back(
+        {this->dialect.retry_after,
+         absl::StrFormat("%.3f",
+                         absl::ToDoubleSeconds(this->bounds.min_retry_after))});
+  }
+  this->log.Failed(
+      telemetry::LogLine("entry", "answered")
+          .Add("request",
+               event::FieldValue(request.fields, this->dialect.request_id))
+          .Add("status", status)
+          .Add("why", why)
+          .Add("host", request.host)
+          .Add("target", request.target)
+          .Add("config", this->store.routes == nullptr
+                             ? "none"
+                             : this->store.routes->version),
+      event::BootNow());
+  exchange->Reply(std::move(reply));
+}
+
+void Entry::Attempt(EntryCall& call) {
+  const absl::Time now = event::BootNow();
+  if (now >= call.give_up_at) {
+    this->GiveUp(call);
+    return;
+  }
+  routing::ChoiceQuery query;
+  query.service = call.service;
+  query.availability_zone = this->settings.availability_zone;
+  query.exclude = call.tried;
+  query.now = now;
+  query.random = this->random();
+  query.only_with_room = true;
+  const catalog::WorkerEntry* worker =
+      routing::ChooseWorker(this->loads, this->store.workers, query);
+  if (worker == nullptr && call.tried.empty()) {
+    query.only_with_room = false;
+    worker = routing::ChooseWorker(this->loads, this->store.workers, query);
+  }
+  if (worker == nullptr) {
+    if (call.may_have_run) {
+      this->FailUnknown(call, 502);
+    } else {
+      this->RefuseNotRun(call);
+    }
+    return;
+  }
+  this->SendTo(call, *worker);
+}
+
+void Entry::SendTo(EntryCall& call, const catalog::WorkerEntry& worker) {
+  const absl::Time now = event::BootNow();
+  schema::HttpCall message = this->MakeMessage(call, worker, now);
+  call.instance = worker.instance;
+  call.tried.push_back(worker.instance);
+  call.sent_at = now;
+  call.attempt_pending = true;
+  routing::OnCallSent(this->loads, worker.instance);
+  if (worker.host == this->settings.host) {
+    call.channel = nullptr;
+    call.local_id = 0;
+    const uint64_t local_id = this->local.Handle(
+        std::move(message), [this](schema::HttpAnswer answer) {
+          boost::asio::post(this->loop,
+                            [this, answer = std::move(answer)]() mutable {
+                              this->OnAnswer(std::move(answer));
+                            });
+        });
+    call.local_id = local_id;
+    return;
+  }
+  call.channel = this->peers.ChannelTo(worker.host, this->settings.peer_port);
+  if (call.channel == nullptr || !call.channel->Send(message)) {
+    call.channel = nullptr;
+    this->OnAttemptLost(call, /*sent=*/false);
+    return;
+  }
+  ++this->waiting[call.channel->number];
+}
+
+schema::HttpCall Entry::MakeMessage(const EntryCall& call,
+                                    const catalog::WorkerEntry& worker,
+                                    absl::Time now) const {
+  const event::HttpRequest& request = call.exchange->request();
+  schema::HttpCall message;
+  message.call_id = call.id;
+  message.request_id = call.request_id;
+  message.service = worker.service;
+  message.instance = worker.instance;
+  message.origin_service = this->settings.service;
+  message.priority = call.route->priority;
+  message.repeatable = call.route->repeatable;
+  message.repeat = call.offers > 0;
+  message.time_left_us = absl::ToInt64Microseconds(call.give_up_at - now);
+  message.objective_us =
+      absl::ToInt64Microseconds(call.route->objective - (now - call.arrived));
+  message.method = request.method;
+  message.target = request.target;
+  message.fields.push_back({"Host", request.host});
+  for (const schema::HttpField& field : request.fields) {
+    if (!absl::EqualsIgnoreCase(field.name, this->dialect.time_left_ms) &&
+        !absl::EqualsIgnoreCase(field.name, this->dialect.expected_instance) &&
+        !absl::EqualsIgnoreCase(field.name, this->dialect.origin_service)) {
+      message.fields.push_back(field);
+    }
+  }
+  message.body = request.body;
+  return message;
+}
+
+void Entry::ForgetAttempt(EntryCall& call) {
+  call.attempt_pending = false;
+  if (call.channel != nullptr) {
+    const auto found = this->waiting.find(call.channel->number);
+    if (found != this->waiting.end() && --found->second == 0) {
+      this->waiting.erase(found);
+    }
+    call.channel = nullptr;
+  }
+}
+
+void Entry::OnAnswer(schema::HttpAnswer answer) {
+  const auto found = this->calls.find(answer.call_id);
+  if (found == this->calls.end() || !found->second->attempt_pending) {
+    return;
+  }
+  EntryCall& call = *found->second;
+  routing::OnCallEnded(this->loads, call.instance, answer.load,
+                       IsWorkerFailure(answer) && answer.offered,
+                       event::BootNow());
+  this->ForgetAttempt(call);
+  this->OnAttemptEnd(call, answer);
+}
+
+void Entry::OnAttemptEnd(EntryCall& call, schema::HttpAnswer& answer) {
+  call.last_reason = answer.reason;
+  call.offers += answer.offered ? 1 : 0;
+  switch (answer.outcome) {
+    case Outcome::kCompleted:
+      this->Deliver(call, answer);
+      return;
+    case Outcome::kNotRun:
+      this->OnNotRun(call, answer);
+      return;
+    case Outcome::kUnknown:
+      call.may_have_run = true;
+      if (this->MayRepeat(call)) {
+        this->Attempt(call);
+        return;
+      }
+      this->FailUnknown(call, 502);
+      return;
+  }
+}
+
+void Entry::OnNotRun(EntryCall& call, const schema::HttpAnswer& answer) {
+  const absl::Time now = event::BootNow();
+  call.retry_after =
+      std::max(call.retry_after, absl::Microseconds(answer.retry_after_us));
+  if (answer.offered) {
+    // The worker itself refused; another send is a repeat for the budget.
+    if (this->MayRepeat(call)) {
+      this->Attempt(call);
+      return;
+    }
+  } else {
+    if (answer.reason == Reason::kWorkerLost ||
+        answer.reason == Reason::kLeaving) {
+      routing::OnUnreachable(this->loads, call.instance, now);
+    } else {
+      routing::OnNoRoom(this->loads, call.instance, now);
+    }
+    if (++call.moves <= this->bounds.max_moves) {
+      this->Attempt(call);
+      return;
+    }
+  }
+  if (call.may_have_run) {
+    this->FailUnknown(call, 502);
+    return;
+  }
+  this->RefuseNotRun(call);
+}
+
+bool Entry::MayRepeat(const EntryCall& call) {
+  const absl::Time now = event::BootNow();
+  if (call.may_have_run && !call.route->repeatable) {
+    return false;
+  }
+  if (call.offers >= call.route->max_workers ||
+      call.give_up_at - now < this->bounds.min_repeat_time) {
+    return false;
+  }
+  return retry::TakeRepeats(this->budgets[call.service], this->BudgetSettings(),
+                            1, this->store.workers.entries.size(), now);
+}
+
+retry::RepeatBudgetSettings Entry::BudgetSettings() const {
+  retry::RepeatBudgetSettings budget;
+  budget.ratio = this->settings.repeat_ratio;
+  budget.allowance = this->settings.repeat_allowance;
+  budget.window = this->settings.repeat_window;
+  return budget;
+}
+
+void Entry::OnAttemptLost(EntryCall& call, bool sent) {
+  routing::OnCallLost(this->loads, call.instance);
+  routing::OnUnreachable(this->loads, call.instance, event::BootNow());
+  schema::HttpAnswer lost;
+  lost.outcome = sent ? Outcome::kUnknown : Outcome::kNotRun;
+  lost.reason = Reason::kConnectionLost;
+  lost.offered = sent;
+  this->ForgetAttempt(call);
+  if (sent) {
+    this->OnAttemptEnd(call, lost);
+    return;
+  }
+  call.last_reason = lost.reason;
+  if (++call.moves <= this->bounds.max_moves) {
+    this->Attempt(call);
+  } else if (call.may_have_run) {
+    this->FailUnknown(call, 502);
+  } else {
+    this->RefuseNotRun(call);
+  }
+}
+
+void Entry::OnChannelClosed(const event::PeerChannelPtr& channel) {
+  std::vector<uint64_t> lost;
+  for (const auto& [id, call] : this->calls) {
+    if (call->attempt_pending && call->channel == channel) {
+      lost.push_back(id);
+    }
+  }
+  this->waiting.erase(channel->number);
+  for (const uint64_t id : lost) {
+    const auto found = this->calls.find(id);
+    if (found != this->calls.end()) {
+      found->second->channel = nullptr;
+      this->OnAttemptLost(*found->second, channel->was_open());
+    }
+  }
+}
+
+void Entry::OnLoadNotice(absl::string_view host,
+                         const schema::LoadNotice& notice) {
+  const absl::Time now = event::BootNow();
+  for (const auto& [instance, entry] : this->store.workers.entries) {
+    if (entry.host == host && entry.service == notice.service) {
+      routing::OnLoadNotice(this->loads, instance, notice, now);
+    }
+  }
+}
+
+void Entry::OnDirectory() {
+  routing::ForgetUnlisted(this->loads, this->store.workers);
+}
+
+bool Entry::IsWaiting(const event::PeerChannelPtr& channel) const {
+  return this->waiting.contains(channel->number);
+}
+
+void Entry::CancelAttempt(EntryCall& call) {
+  if (!call.attempt_pending) {
+    return;
+  }
+  routing::OnCallLost(this->loads, call.instance);
+  if (call.channel != nullptr) {
+    call.channel->Send(schema::HttpCancel{call.id});
+  } else {
+    this->local.Cancel(call.local_id);
+  }
+  this->ForgetAttempt(call);
+}
+
+void Entry::OnAbandoned(uint64_t id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  EntryCall& call = *found->second;
+  this->CancelAttempt(call);
+  this->Finish(call, event::HttpReply{}, "client_left");
+}
+
+void Entry::GiveUp(EntryCall& call) {
+  const bool pending = call.attempt_pending;
+  this->CancelAttempt(call);
+  if (pending || call.may_have_run) {
+    call.last_reason = Reason::kTimeout;
+    this->FailUnknown(call, 504);
+    return;
+  }
+  call.last_reason = Reason::kDeadline;
+  this->RefuseNotRun(call);
+}
+
+void Entry::Tick(absl::Time now) {
+  std::vector<uint64_t> over;
+  for (const auto& [id, call] : this->calls) {
+    if (now >= call->give_up_at) {
+      over.push_back(id);
+    }
+  }
+  for (const uint64_t id : over) {
+    this->GiveUp(*this->calls.at(id));
+  }
+}
+
+void Entry::Deliver(EntryCall& call, schema::HttpAnswer& answer) {
+  event::HttpReply reply;
+  reply.status = answer.status;
+  reply.fields = std::move(answer.fields);
+  reply.body = std::move(answer.body);
+  this->Finish(call, std::move(reply), "completed");
+}
+
+absl::Duration Entry::RetryAfter(const EntryCall& call) {
+  const absl::Duration base =
+      std::clamp(call.retry_after, this->bounds.min_retry_after,
+                 this->bounds.max_retry_after);
+  std::uniform_real_distribution<double> spread(1, 1 + kRetryAfterSpread);
+  return base * spread(this->random);
+}
+
+void Entry::RefuseNotRun(EntryCall& call) {
+  event::HttpReply reply;
+  reply.status = 503;
+  reply.fields.push_back(
+      {this->dialect.retry_after,
+       absl::StrFormat("%.3f", absl::ToDoubleSeconds(this->RetryAfter(call)))});
+  this->Finish(call, std::move(reply), "not_run");
+}
+
+void Entry::FailUnknown(EntryCall& call, uint32_t status) {
+  event::HttpReply reply;
+  reply.status = status;
+  this->Finish(call, std::move(reply), "unknown");
+}
+
+void Entry::Finish(EntryCall& call,
+                   event::HttpReply reply,
+                   absl::string_view how) {
+  const absl::Time now = event::BootNow();
+  const bool served = reply.status >= 200 && reply.status < 500;
+  if (!served || this->log.WantsServed(now)) {
+    telemetry::LogLine line("entry", "finished");
+    line.Add("request", call.request_id)
+        .Add("how", how)
+        .Add("status", reply.status)
+        .Add("reason", schema::ToString(call.last_reason))
+        .Add("route", call.route->name)
+        .Add("service", call.service)
+        .Add("priority", call.route->priority)
+        .Add("config", call.routes->version)
+        .Add("instance", call.instance)
+        .Add("tried", call.tried.size())
+        .Add("offers", call.offers)
+        .Add("ms", absl::ToInt64Milliseconds(now - call.arrived));
+    if (served) {
+      this->log.Served(line);
+    } else {
+      this->log.Failed(line, now);
+    }
+  }
+  const auto exchange = call.exchange;
+  this->calls.erase(call.id);
+  if (reply.status != 0) {
+    exchange->Reply(std::move(reply));
+  }
+}
+
+}  // namespace boragepaddle::proxy
--- /dev/null
+++ b/src/boragepaddle/proxy/entry.h
@@ -0,0 +1,111 @@
+#ifndef BORAGEPADDLE_PROXY_ENTRY_H_
+#define BORAGEPADDLE_PROXY_ENTRY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "boragepaddle/event/http_exchange.h"
+#include "boragepaddle/proxy/dialect.h"
+#include "boragepaddle/proxy/entry_call.h"
+#include "boragepaddle/proxy/node_settings.h"
+#include "boragepaddle/proxy/peer_network.h"
+#include "boragepaddle/proxy/store_state.h"
+#include "boragepaddle/proxy/worker_side.h"
+#include "boragepaddle/retry/repeat_budget.h"
+#include "boragepaddle/routing/target_split.h"
+#include "boragepaddle/routing/worker_choice.h"
+#include "boragepaddle/telemetry/event_log.h"
+
+namespace boragepaddle::proxy {
+
+/// Bounds on the attempts of one request.
+struct EntrySettings {
+  /// Nodes without room that are asked in turn.
+  uint32_t max_moves = 3;
+  /// A repeat needs this share of the time to the objective, or of the time
+  /// left where there is no objective.
+  absl::Duration min_repeat_time = absl::Milliseconds(50);
+  /// Shortest time that a refused client is asked to stay away.
+  absl::Duration min_retry_after = absl::Milliseconds(200);
+  absl::Duration max_retry_after = absl::Seconds(2);
+};
+
+/// The side of a node that clients and the local worker send to: finds the
+/// route, chooses workers, and answers.
+class Entry {
+ public:
+  Entry(boost::asio::io_context& loop,
+        const NodeSettings& settings,
+        const HttpDialect& dialect,
+        const StoreState& store,
+        WorkerSide& local,
+        PeerNetwork& peers,
+        telemetry::EventLog& log);
+
+  /// A client's request was read whole.
+  void OnRequest(const std::shared_ptr<event::HttpExchange>& exchange);
+
+  /// An answer came on a channel, or from the local worker's side.
+  void OnAnswer(schema::HttpAnswer answer);
+
+  /// A channel closed; its attempts get no answers.
+  void OnChannelClosed(const event::PeerChannelPtr& channel);
+
+  void OnLoadNotice(absl::string_view host, const schema::LoadNotice& notice);
+  void OnDirectory();
+  void Tick(absl::Time now);
+
+  bool IsWaiting(const event::PeerChannelPtr& channel) const;
+  size_t in_flight() const { return this->calls.size(); }
+
+ private:
+  void Attempt(EntryCall& call);
+  void SendTo(EntryCall& call, const catalog::WorkerEntry& worker);
+  schema::HttpCall MakeMessage(const EntryCall& call,
+                               const catalog::WorkerEntry& worker,
+                               absl::Time now) const;
+  void OnAttemptEnd(EntryCall& call, schema::HttpAnswer& answer);
+  void OnNotRun(EntryCall& call, const schema::HttpAnswer& answer);
+  void OnAttemptLost(EntryCall& call, bool sent);
+  bool MayRepeat(const EntryCall& call);
+  void GiveUp(EntryCall& call);
+  void OnAbandoned(uint64_t id);
+  void CancelAttempt(EntryCall& call);
+  void ForgetAttempt(EntryCall& call);
+
+  void Deliver(EntryCall& call, schema::HttpAnswer& answer);
+  void RefuseNotRun(EntryCall& call);
+  void FailUnknown(EntryCall& call, uint32_t status);
+  void Finish(EntryCall& call, event::HttpReply reply, absl::string_view how);
+  void AnswerEarly(const std::shared_ptr<event::HttpExchange>& exchange,
+                   uint32_t status,
+                   absl::string_view why);
+  absl::Duration RetryAfter(const EntryCall& call);
+  retry::RepeatBudgetSettings BudgetSettings() const;
+
+  boost::asio::io_context& loop;
+  const NodeSettings& settings;
+  const EntrySettings bounds;
+  const HttpDialect& dialect;
+  const StoreState& store;
+  WorkerSide& local;
+  PeerNetwork& peers;
+  telemetry::EventLog& log;
+  std::mt19937_64 random;
+  uint64_t next_id = 1;
+  absl::flat_hash_map<uint64_t, std::unique_ptr<EntryCall>> calls;
+  /// Attempts in flight by channel number.
+  absl::flat_hash_map<uint64_t, uint32_t> waiting;
+  absl::flat_hash_map<std::string, routing::TargetSplit> splits;
+  absl::flat_hash_map<std::string, retry::RepeatBudget> budgets;
+  routing::LoadTable loads;
+};
+
+}  // namespace boragepaddle::proxy
+
+#endif  // BORAGEPADDLE_PROXY_ENTRY_H_
--- /dev/null
+++ b/src/boragepaddle/proxy/entry_call.h
@@ -0,0 +1,52 @@
+#ifndef BORAGEPADDLE_PROXY_ENTRY_CALL_H_
+#define BORAGEPADDLE_PROXY_ENTRY_CALL_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "boragepaddle/catalog/route_catalog.h"
+#include "boragepaddle/event/http_exchange.h"
+#include "boragepaddle/event/peer_channel.h"
+#include "boragepaddle/schema/messages.h"
+
+namespace boragepaddle::proxy {
+
+/// One request of a client between its arrival and its answer.
+struct EntryCall {
+  uint64_t id = 0;
+  std::shared_ptr<event::HttpExchange> exchange;
+  /// Keeps the route alive while newer configurations come into force.
+  std::shared_ptr<const catalog::RouteCatalog> routes;
+  const catalog::Route* route = nullptr;
+  std::string service;
+  std::string request_id;
+  absl::Time arrived;
+  /// When the client, or the route's timeout, ends the wait.
+  absl::Time give_up_at;
+
+  /// Instances that the call was sent to.
+  std::vector<std::string> tried;
+  /// Workers that were given the request, or may have been.
+  uint32_t offers = 0;
+  /// Refusals by nodes that had no room.
+  uint32_t moves = 0;
+  /// An attempt may have run without an answer.
+  bool may_have_run = false;
+  schema::Reason last_reason = schema::Reason::kNoUpstream;
+  absl::Duration retry_after;
+
+  /// The attempt in progress: null channel for the worker of this VM.
+  bool attempt_pending = false;
+  event::PeerChannelPtr channel;
+  /// Id that the worker side of this node gave to a local attempt.
+  uint64_t local_id = 0;
+  std::string instance;
+  absl::Time sent_at;
+};
+
+}  // namespace boragepaddle::proxy
+
+#endif  // BORAGEPADDLE_PROXY_ENTRY_CALL_H_
--- /dev/null
+++ b/src/boragepaddle/proxy/node_settings.h
@@ -0,0 +1,44 @@
+#ifndef BORAGEPADDLE_PROXY_NODE_SETTINGS_H_
+#define BORAGEPADDLE_PROXY_NODE_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "absl/time/time.h"
+
+namespace boragepaddle::proxy {
+
+/// Where a node runs and what it may use, from the deployment.
+struct NodeSettings {
+  std::string vm_id;
+  /// IP address of the VM.
+  std::string host;
+  std::string availability_zone;
+  /// Service of the worker on this VM.
+  std::string service;
+
+  /// `IP:PORT` of the listeners, the worker and the store.
+  std::string caller_address;
+  std::string ready_address;
+  std::string worker_address;
+  std::string store_address;
+  /// Port for other nodes; the same on all VMs.
+  uint16_t peer_port = 0;
+
+  uint64_t memory_bytes = 256u << 20;
+  uint32_t max_descriptors = 4096;
+
+  /// Time between SIGTERM and SIGKILL.
+  absl::Duration stop_grace = absl::Seconds(6);
+  /// Time after an outage within which lapsed entries are back.
+  absl::Duration entry_return_time = absl::Seconds(2);
+  /// Limit on repeats over all nodes: share of the requests, and a fixed
+  /// number, in any window of the length.
+  double repeat_ratio = 0.2;
+  double repeat_allowance = 0;
+  absl::Duration repeat_window = absl::Seconds(10);
+};
+
+}  // namespace boragepaddle::proxy
+
+#endif  // BORAGEPADDLE_PROXY_NODE_SETTINGS_H_
--- /dev/null
+++ b/src/boragepaddle/proxy/peer_network.cc
@@ -0,0 +1,107 @@
+#include "boragepaddle/proxy/peer_network.h"
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace boragepaddle::proxy {
+
+using event::PeerChannel;
+using event::PeerChannelPtr;
+
+namespace {
+
+constexpr int kListenBacklog = 512;
+
+}  // namespace
+
+PeerNetwork::PeerNetwork(boost::asio::io_context& loop,
+                         PeerNetworkEvents events)
+    : loop(loop), events(std::move(events)), acceptor(loop) {}
+
+boost::system::error_code PeerNetwork::Listen(
+    const event::Tcp::endpoint& endpoint) {
+  boost::system::error_code error;
+  this->acceptor.open(endpoint.protocol(), error);
+  if (error) {
+    return error;
+  }
+  this->acceptor.set_option(event::Tcp::acceptor::reuse_address(true), error);
+  this->acceptor.bind(endpoint, error);
+  if (error) {
+    return error;
+  }
+  this->acceptor.listen(kListenBacklog, error);
+  if (!error) {
+    this->Accept();
+  }
+  return error;
+}
+
+void PeerNetwork::Accept() {
+  this->acceptor.async_accept([this](const boost::system::error_code& error,
+                                     event::Tcp::socket socket) {
+    if (!error) {
+      this->MakeChannel()->Adopt(std::move(socket));
+    }
+    this->Accept();
+  });
+}
+
+PeerChannelPtr PeerNetwork::MakeChannel() {
+  event::PeerChannelEvents channel_events;
+  channel_events.on_open = [this](const PeerChannelPtr& channel) {
+    channel->Send(this->events.make_hello());
+  };
+  channel_events.on_message = [this](const PeerChannelPtr& channel,
+                                     schema::Message& message) {
+    this->events.on_message(channel, message);
+  };
+  channel_events.on_closed = [this](const PeerChannelPtr& channel) {
+    const auto found = this->outgoing.find(channel->host);
+    if (found != this->outgoing.end() && found->second == channel) {
+      this->outgoing.erase(found);
+    }
+    this->all.erase(channel);
+    this->events.on_closed(channel);
+  };
+  auto channel = std::make_shared<PeerChannel>(this->loop, channel_events);
+  channel->number = this->next_number++;
+  this->all.insert(channel);
+  return channel;
+}
+
+PeerChannelPtr PeerNetwork::ChannelTo(absl::string_view host, uint16_t port) {
+  const auto found = this->outgoing.find(host);
+  if (found != this->outgoing.end() && !found->second->is_closed()) {
+    return found->second;
+  }
+  const auto endpoint = event::ParseEndpoint(absl::StrCat(host, ":", port));
+  if (!endpoint) {
+    return nullptr;
+  }
+  PeerChannelPtr channel = this->MakeChannel();
+  channel->host = std::string(host);
+  this->outgoing[channel->host] = channel;
+  channel->Connect(*endpoint);
+  return channel;
+}
+
+void PeerNetwork::Broadcast(const schema::Message& message) {
+  for (const PeerChannelPtr& channel : this->all) {
+    if (channel->is_open()) {
+      channel->Send(message);
+    }
+  }
+}
+
+void PeerNetwork::Tick(absl::Time now) {
+  const std::vector<PeerChannelPtr> copy(this->all.begin(), this->all.end());
+  for (const PeerChannelPtr& channel : copy) {
+    channel->Tick(now, this->events.is_waiting(channel));
+  }
+}
+
+}  // namespace boragepaddle::proxy
--- /dev/null
+++ b/src/boragepaddle/proxy/peer_network.h
@@ -0,0 +1,60 @@
+#ifndef BORAGEPADDLE_PROXY_PEER_NETWORK_H_
+#define BORAGEPADDLE_PROXY_PEER_NETWORK_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "boragepaddle/event/peer_channel.h"
+#include "boragepaddle/schema/messages.h"
+
+namespace boragepaddle::proxy {
+
+/// What the network tells its owner.
+struct PeerNetworkEvents {
+  std::function<void(const event::PeerChannelPtr&, schema::Message&)>
+      on_message;
+  std::function<void(const event::PeerChannelPtr&)> on_closed;
+  /// First frame of each direction.
+  std::function<schema::PeerHello()> make_hello;
+  /// True while an answer is awaited on the channel.
+  std::function<bool(const event::PeerChannelPtr&)> is_waiting;
+};
+
+/// Connections to and from the other nodes: one per direction and node.
+class PeerNetwork {
+ public:
+  PeerNetwork(boost::asio::io_context& loop, PeerNetworkEvents events);
+
+  boost::system::error_code Listen(const event::Tcp::endpoint& endpoint);
+
+  /// Open or opening channel to the node on the host; null if the address is
+  /// malformed.
+  event::PeerChannelPtr ChannelTo(absl::string_view host, uint16_t port);
+
+  /// Sends to all nodes with an open channel, in either direction.
+  void Broadcast(const schema::Message& message);
+
+  void Tick(absl::Time now);
+  size_t channels() const { return this->all.size(); }
+
+ private:
+  void Accept();
+  event::PeerChannelPtr MakeChannel();
+
+  boost::asio::io_context& loop;
+  PeerNetworkEvents events;
+  event::Tcp::acceptor acceptor;
+  absl::flat_hash_map<std::string, event::PeerChannelPtr> outgoing;
+  absl::flat_hash_set<event::PeerChannelPtr> all;
+  uint64_t next_number = 1;
+};
+
+}  // namespace boragepaddle::proxy
+
+#endif  // BORAGEPADDLE_PROXY_PEER_NETWORK_H_
--- /dev/null
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -0,0 +1,415 @@
+#include "boragepaddle/proxy/proxy_node.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boragepaddle/event/clock.h"
+
+namespace boragepaddle::proxy {
+
+namespace {
+
+using event::PeerChannelPtr;
+using telemetry::LogLine;
+
+/// Resolution of time-outs and queue limits.
+constexpr absl::Duration kTick = absl::Milliseconds(20);
+
+/// Pace of what needs no precision: connection time-outs, expiry.
+constexpr absl::Duration kSlowTick = absl::Milliseconds(200);
+
+/// The settings file may change without a signal.
+constexpr absl::Duration kReloadInterval = absl::Milliseconds(500);
+
+/// A gap between ticks that is taken for a pause of the process or the VM.
+constexpr absl::Duration kPauseGap = absl::Milliseconds(700);
+
+/// Time after SIGTERM in which clients may still send, since they learn of it
+/// from two readiness probes a second apart.
+constexpr absl::Duration kKeepAccepting = absl::Milliseconds(2600);
+
+/// Before the end of the grace period everything is closed.
+constexpr absl::Duration kStopMargin = absl::Milliseconds(300);
+
+absl::string_view KindName(StoreChange::Kind kind) {
+  switch (kind) {
+    case StoreChange::Kind::kConfigAccepted:
+      return "config_accepted";
+    case StoreChange::Kind::kConfigRefused:
+      return "config_refused";
+    case StoreChange::Kind::kWorkerListed:
+      return "worker_listed";
+    case StoreChange::Kind::kWorkerRemoved:
+      return "worker_removed";
+    case StoreChange::Kind::kEntryIgnored:
+      return "entry_ignored";
+  }
+  return "invalid";
+}
+
+event::WorkerFieldNames FieldNames(const HttpDialect& dialect) {
+  return {dialect.request_id, dialect.not_run};
+}
+
+StoreState MakeStore(const NodeSettings& settings,
+                     const StoreDialect& dialect) {
+  StoreState store;
+  store.dialect = dialect;
+  store.workers.settings.return_time = settings.entry_return_time;
+  return store;
+}
+
+}  // namespace
+
+ProxyNode::ProxyNode(boost::asio::io_context& loop,
+                     const NodeSettings& settings,
+                     NodeParts parts,
+                     telemetry::EventLog& log)
+    : loop(loop),
+      settings(settings),
+      parts(std::move(parts)),
+      log(log),
+      incarnation(std::random_device()() | 1u),
+      store(MakeStore(this->settings, this->parts.store)),
+      workers(loop, FieldNames(this->parts.http)),
+      worker_side(this->settings,
+                  this->parts.http,
+                  this->store,
+                  this->workers,
+                  log),
+      peers(loop, this->MakePeerEvents()),
+      entry(loop,
+            this->settings,
+            this->parts.http,
+            this->store,
+            this->worker_side,
+            this->peers,
+            log),
+      callers(loop,
+              [this](const std::shared_ptr<event::HttpExchange>& exchange) {
+                this->entry.OnRequest(exchange);
+              }),
+      probes(loop,
+             [this](const std::shared_ptr<event::HttpExchange>& exchange) {
+               this->OnReadyProbe(exchange);
+             }),
+      config_watch(loop,
+                   *this->parts.config_source,
+                   this->parts.store.config_prefix,
+                   event::SourceWatchSettings(),
+                   this->MakeWatchEvents("config")),
+      worker_watch(loop,
+                   *this->parts.worker_source,
+                   this->parts.store.worker_prefix,
+                   event::SourceWatchSettings(),
+                   this->MakeWatchEvents("workers")),
+      timer(loop),
+      last_tick(event::BootNow()),
+      last_slow_tick(this->last_tick),
+      last_reload(this->last_tick) {}
+
+bool ProxyNode::Listen(event::HttpServer& server, const std::string& address) {
+  const auto endpoint = event::ParseEndpoint(address);
+  const auto error =
+      endpoint
+          ? server.Listen(*endpoint)
+          : boost::system::error_code(boost::asio::error::invalid_argument);
+  if (error) {
+    this->log.State(LogLine("node", "listen_failed")
+                        .Add("address", address)
+                        .Add("errno", error.value()));
+  }
+  return !error;
+}
+
+bool ProxyNode::Start() {
+  const auto worker = event::ParseEndpoint(this->settings.worker_address);
+  const auto peer = event::ParseEndpoint(
+      absl::StrCat(this->settings.host, ":", this->settings.peer_port));
+  if (!worker || !peer || this->peers.Listen(*peer) ||
+      !this->Listen(this->callers, this->settings.caller_address) ||
+      !this->Listen(this->probes, this->settings.ready_address)) {
+    return false;
+  }
+  this->workers.SetWorker(*worker);
+  this->config_watch.Start();
+  this->worker_watch.Start();
+  this->ScheduleTick();
+  this->log.State(LogLine("node", "started")
+                      .Add("vm", this->settings.vm_id)
+                      .Add("zone", this->settings.availability_zone)
+                      .Add("service", this->settings.service)
+                      .Add("worker", this->settings.worker_address)
+                      .Add("incarnation", this->incarnation));
+  return true;
+}
+
+PeerNetworkEvents ProxyNode::MakePeerEvents() {
+  PeerNetworkEvents events;
+  events.on_message = [this](const PeerChannelPtr& channel,
+                             schema::Message& message) {
+    this->OnPeerMessage(channel, message);
+  };
+  events.on_closed = [this](const PeerChannelPtr& channel) {
+    this->OnChannelClosed(channel);
+  };
+  events.make_hello = [this] {
+    schema::PeerHello hello;
+    hello.vm_id = this->settings.vm_id;
+    hello.host = this->settings.host;
+    hello.service = this->settings.service;
+    hello.incarnation = this->incarnation;
+    hello.config_revision =
+        this->store.routes == nullptr ? 0 : this->store.routes->revision;
+    hello.directory_revision = this->store.workers.revision;
+    return hello;
+  };
+  events.is_waiting = [this](const PeerChannelPtr& channel) {
+    return this->entry.IsWaiting(channel);
+  };
+  return events;
+}
+
+event::SourceWatchEvents ProxyNode::MakeWatchEvents(const char* name) {
+  event::SourceWatchEvents events;
+  events.on_changes = [this](const std::vector<schema::KeyValue>& items) {
+    this->ApplyChanges(items);
+  };
+  events.on_complete = [this, name] {
+    this->log.State(LogLine("store", "read").Add("what", name));
+  };
+  events.on_failure = [this, name](const event::SourceError& error) {
+    catalog::OnSourceFailure(this->store.workers, event::BootNow());
+    this->log.State(LogLine("store", "lost")
+                        .Add("what", name)
+                        .Add("error", event::ToString(error.code))
+                        .Add("status", error.status));
+  };
+  events.on_recovery = [this, name] {
+    // Entries that lapsed meanwhile have from now on their time to return.
+    catalog::OnSourceFailure(this->store.workers, event::BootNow());
+    this->log.State(LogLine("store", "regained").Add("what", name));
+  };
+  return events;
+}
+
+void ProxyNode::ApplyChanges(const std::vector<schema::KeyValue>& items) {
+  const auto changes = ApplyItems(this->store, items, event::BootNow());
+  for (const StoreChange& change : changes) {
+    this->log.State(LogLine("store", KindName(change.kind))
+                        .Add("key", change.key)
+                        .Add("revision", change.revision)
+                        .Add("detail", change.detail));
+  }
+  this->OnStateChanged();
+}
+
+void ProxyNode::OnStateChanged() {
+  if (this->store.routes != nullptr) {
+    const catalog::ClientLimits& bounds = this->store.routes->limits;
+    event::HttpServerLimits limits = this->callers.limits();
+    limits.max_header_bytes = bounds.max_header_bytes;
+    limits.max_body_bytes = bounds.max_body_bytes;
+    limits.header_timeout = bounds.header_timeout;
+    limits.idle_timeout = bounds.idle_timeout;
+    this->callers.SetLimits(limits);
+  }
+  this->worker_side.OnDirectory();
+  this->entry.OnDirectory();
+}
+
+void ProxyNode::OnPeerMessage(const PeerChannelPtr& channel,
+                              schema::Message& message) {
+  if (auto* call = std::get_if<schema::HttpCall>(&message)) {
+    this->OnPeerCall(channel, std::move(*call));
+  } else if (auto* answer = std::get_if<schema::HttpAnswer>(&message)) {
+    this->entry.OnAnswer(std::move(*answer));
+  } else if (const auto* cancel = std::get_if<schema::HttpCancel>(&message)) {
+    this->OnPeerCancel(channel, *cancel);
+  } else if (const auto* hello = std::get_if<schema::PeerHello>(&message)) {
+    this->OnPeerHello(channel, *hello);
+  } else if (const auto* notice = std::get_if<schema::LoadNotice>(&message)) {
+    this->entry.OnLoadNotice(channel->host, *notice);
+  } else if (const auto* copy = std::get_if<schema::StoreCopy>(&message)) {
+    this->log.State(LogLine("store", "copy_received")
+                        .Add("from", channel->host)
+                        .Add("config", copy->config_revision)
+                        .Add("workers", copy->directory_revision));
+    this->ApplyChanges(copy->items);
+  }
+}
+
+void ProxyNode::OnPeerHello(const PeerChannelPtr& channel,
+                            const schema::PeerHello& hello) {
+  channel->host = hello.host;
+  const bool has_state =
+      this->store.routes != nullptr && this->store.workers.revision > 0;
+  if (has_state &&
+      (hello.config_revision == 0 || hello.directory_revision == 0)) {
+    channel->Send(MakeStoreCopy(this->store));
+  }
+  if (this->stopping_since != absl::InfiniteFuture()) {
+    channel->Send(this->worker_side.Notice());
+  }
+}
+
+void ProxyNode::OnPeerCall(const PeerChannelPtr& channel,
+                           schema::HttpCall call) {
+  const std::pair<uint64_t, uint64_t> key(channel->number, call.call_id);
+  // Reserved first, since the reply may come before Handle returns.
+  this->remote_calls[key] = 0;
+  const uint64_t id = this->worker_side.Handle(
+      std::move(call), [this, channel, key](schema::HttpAnswer answer) {
+        this->remote_calls.erase(key);
+        channel->Send(answer);
+      });
+  const auto found = this->remote_calls.find(key);
+  if (found != this->remote_calls.end()) {
+    found->second = id;
+  }
+}
+
+void ProxyNode::OnPeerCancel(const PeerChannelPtr& channel,
+                             const schema::HttpCancel& cancel) {
+  const auto found = this->remote_calls.find({channel->number, cancel.call_id});
+  if (found != this->remote_calls.end()) {
+    const uint64_t id = found->second;
+    this->remote_calls.erase(found);
+    this->worker_side.Cancel(id);
+  }
+}
+
+void ProxyNode::OnChannelClosed(const PeerChannelPtr& channel) {
+  std::vector<uint64_t> abandoned;
+  for (auto call = this->remote_calls.begin();
+       call != this->remote_calls.end();) {
+    if (call->first.first == channel->number) {
+      abandoned.push_back(call->second);
+      this->remote_calls.erase(call++);
+    } else {
+      ++call;
+    }
+  }
+  for (const uint64_t id : abandoned) {
+    this->worker_side.Cancel(id);
+  }
+  this->entry.OnChannelClosed(channel);
+}
+
+bool ProxyNode::IsReady() const {
+  return this->stopping_since == absl::InfiniteFuture() &&
+         this->store.routes != nullptr && !this->store.workers.entries.empty();
+}
+
+void ProxyNode::OnReadyProbe(
+    const std::shared_ptr<event::HttpExchange>& exchange) {
+  event::HttpReply reply;
+  const bool known = exchange->request().target == this->parts.http.ready_path;
+  reply.status = !known ? 404 : this->IsReady() ? 200 : 503;
+  exchange->Reply(std::move(reply));
+}
+
+void ProxyNode::ScheduleTick() {
+  this->timer.expires_after(absl::ToChronoNanoseconds(kTick));
+  this->timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      this->Tick();
+      this->ScheduleTick();
+    }
+  });
+}
+
+void ProxyNode::Tick() {
+  const absl::Time now = event::BootNow();
+  const absl::Duration gap = now - this->last_tick;
+  this->last_tick = now;
+  if (gap > kPauseGap) {
+    this->OnPause(now, gap);
+  }
+  this->entry.Tick(now);
+  this->worker_side.Tick(now);
+  if (now - this->last_slow_tick >= kSlowTick) {
+    this->last_slow_tick = now;
+    this->callers.Tick(now);
+    this->probes.Tick(now);
+    this->workers.Tick(now);
+    this->peers.Tick(now);
+    if (catalog::ExpireWorkers(this->store.workers, now)) {
+      this->OnStateChanged();
+    }
+    if (this->IsReady() != this->was_ready) {
+      this->was_ready = !this->was_ready;
+      this->log.State(LogLine("node", this->was_ready ? "ready" : "not_ready"));
+    }
+  }
+  if (now - this->last_reload >= kReloadInterval) {
+    this->Reload();
+  }
+  this->TickStopping(now);
+}
+
+void ProxyNode::OnPause(absl::Time now, absl::Duration gap) {
+  this->log.State(
+      LogLine("node", "paused").Add("ms", absl::ToInt64Milliseconds(gap)));
+  catalog::OnSourceFailure(this->store.workers, now);
+  this->worker_side.OnPause();
+  this->config_watch.Restart();
+  this->worker_watch.Restart();
+}
+
+void ProxyNode::Reload() {
+  this->last_reload = event::BootNow();
+  const absl::optional<NodeSettings> fresh = this->parts.reload();
+  if (!fresh || (fresh->service == this->settings.service &&
+                 fresh->worker_address == this->settings.worker_address)) {
+    return;
+  }
+  this->settings.service = fresh->service;
+  this->settings.worker_address = fresh->worker_address;
+  const auto worker = event::ParseEndpoint(this->settings.worker_address);
+  if (worker) {
+    this->workers.SetWorker(*worker);
+  }
+  this->OnStateChanged();
+  this->log.State(LogLine("node", "reloaded")
+                      .Add("service", this->settings.service)
+                      .Add("worker", this->settings.worker_address));
+}
+
+void ProxyNode::StartStopping() {
+  if (this->stopping_since != absl::InfiniteFuture()) {
+    return;
+  }
+  this->stopping_since = event::BootNow();
+  this->log.State(LogLine("node", "stopping")
+                      .Add("entry_calls", this->entry.in_flight())
+                      .Add("worker_calls", this->worker_side.in_flight()));
+  this->callers.StartClosing();
+  this->worker_side.StartLeaving();
+  this->peers.Broadcast(this->worker_side.Notice());
+}
+
+void ProxyNode::TickStopping(absl::Time now) {
+  const absl::Duration elapsed = now - this->stopping_since;
+  if (elapsed < kKeepAccepting) {
+    return;
+  }
+  if (!this->listener_closed) {
+    this->listener_closed = true;
+    this->callers.StopListening();
+  }
+  const bool drained = this->entry.in_flight() == 0 &&
+                       this->worker_side.in_flight() == 0 &&
+                       this->callers.Busy() == 0;
+  if (drained || elapsed > this->settings.stop_grace - kStopMargin) {
+    this->log.State(LogLine("node", "stopped")
+                        .Add("drained", drained)
+                        .Add("entry_calls", this->entry.in_flight())
+                        .Add("worker_calls", this->worker_side.in_flight()));
+    this->loop.stop();
+  }
+}
+
+}  // namespace boragepaddle::proxy
--- /dev/null
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -0,0 +1,104 @@
+#ifndef BORAGEPADDLE_PROXY_PROXY_NODE_H_
+#define BORAGEPADDLE_PROXY_PROXY_NODE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "boragepaddle/event/http_server.h"
+#include "boragepaddle/event/key_value_source.h"
+#include "boragepaddle/event/source_watch.h"
+#include "boragepaddle/event/worker_pool.h"
+#include "boragepaddle/proxy/dialect.h"
+#include "boragepaddle/proxy/entry.h"
+#include "boragepaddle/proxy/node_settings.h"
+#include "boragepaddle/proxy/peer_network.h"
+#include "boragepaddle/proxy/store_state.h"
+#include "boragepaddle/proxy/worker_side.h"
+#include "boragepaddle/telemetry/event_log.h"
+
+namespace boragepaddle::proxy {
+
+/// What a node is built from besides its settings.
+struct NodeParts {
+  HttpDialect http;
+  StoreDialect store;
+  /// Two sources, since each carries one read at a time.
+  std::unique_ptr<event::KeyValueSource> config_source;
+  std::unique_ptr<event::KeyValueSource> worker_source;
+  /// Reads the settings again; empty if they cannot be read.
+  std::function<absl::optional<NodeSettings>()> reload;
+};
+
+/// A node on the HTTP path: listeners, the store's watches, the entry and the
+/// worker's side, on one event loop.
+class ProxyNode {
+ public:
+  ProxyNode(boost::asio::io_context& loop,
+            const NodeSettings& settings,
+            NodeParts parts,
+            telemetry::EventLog& log);
+
+  /// Opens the listeners; false if one cannot be opened.
+  bool Start();
+
+  /// SIGTERM: not ready any more, answers what was read, then ends the loop.
+  void StartStopping();
+
+  /// SIGHUP, and now and then without one.
+  void Reload();
+
+ private:
+  bool Listen(event::HttpServer& server, const std::string& address);
+  PeerNetworkEvents MakePeerEvents();
+  event::SourceWatchEvents MakeWatchEvents(const char* name);
+  void OnPeerMessage(const event::PeerChannelPtr& channel,
+                     schema::Message& message);
+  void OnPeerHello(const event::PeerChannelPtr& channel,
+                   const schema::PeerHello& hello);
+  void OnPeerCall(const event::PeerChannelPtr& channel, schema::HttpCall call);
+  void OnPeerCancel(const event::PeerChannelPtr& channel,
+                    const schema::HttpCancel& cancel);
+  void OnChannelClosed(const event::PeerChannelPtr& channel);
+  void OnReadyProbe(const std::shared_ptr<event::HttpExchange>& exchange);
+  void ApplyChanges(const std::vector<schema::KeyValue>& items);
+  void OnStateChanged();
+  bool IsReady() const;
+  void ScheduleTick();
+  void Tick();
+  void OnPause(absl::Time now, absl::Duration gap);
+  void TickStopping(absl::Time now);
+
+  boost::asio::io_context& loop;
+  NodeSettings settings;
+  NodeParts parts;
+  telemetry::EventLog& log;
+  const uint64_t incarnation;
+  StoreState store;
+  event::WorkerPool workers;
+  WorkerSide worker_side;
+  PeerNetwork peers;
+  Entry entry;
+  event::HttpServer callers;
+  event::HttpServer probes;
+  event::SourceWatch config_watch;
+  event::SourceWatch worker_watch;
+  boost::asio::steady_timer timer;
+  /// Worker-side ids of remote calls, by channel number and call id.
+  absl::flat_hash_map<std::pair<uint64_t, uint64_t>, uint64_t> remote_calls;
+  absl::Time last_tick;
+  absl::Time last_slow_tick;
+  absl::Time last_reload;
+  absl::Time stopping_since = absl::InfiniteFuture();
+  bool listener_closed = false;
+  bool was_ready = false;
+};
+
+}  // namespace boragepaddle::proxy
+
+#endif  // BORAGEPADDLE_PROXY_PROXY_NODE_H_
--- /dev/null
+++ b/src/boragepaddle/proxy/store_state.cc
@@ -0,0 +1,97 @@
+#include "boragepaddle/proxy/store_state.h"
+
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace boragepaddle::proxy {
+
+namespace {
+
+using Kind = StoreChange::Kind;
+
+StoreChange ApplyConfig(StoreState& state, const schema::KeyValue& item) {
+  StoreChange change{Kind::kConfigRefused, item.key, item.revision, ""};
+  if (item.removed) {
+    change.detail = "removed; the last one stays in force";
+    return change;
+  }
+  if (state.routes != nullptr && state.routes->revision >= item.revision) {
+    change.kind = Kind::kEntryIgnored;
+    change.detail = "not newer";
+    return change;
+  }
+  auto decoded = state.dialect.decode_catalog(item.value);
+  if (!decoded) {
+    change.detail = decoded.error().detail;
+    return change;
+  }
+  auto routes =
+      std::make_shared<catalog::RouteCatalog>(std::move(decoded.value()));
+  routes->revision = item.revision;
+  change.kind = Kind::kConfigAccepted;
+  change.detail = absl::StrCat("version=", routes->version,
+                               " routes=", routes->routes.size());
+  state.routes = std::move(routes);
+  state.items[item.key] = item;
+  return change;
+}
+
+StoreChange ApplyWorker(StoreState& state,
+                        const schema::KeyValue& item,
+                        absl::Time now) {
+  StoreChange change{Kind::kWorkerRemoved, item.key, item.revision, ""};
+  const std::string instance =
+      item.key.substr(state.dialect.worker_prefix.size());
+  if (!item.removed) {
+    auto decoded = state.dialect.decode_worker(item.key, item.value);
+    if (decoded) {
+      catalog::WorkerEntry entry = std::move(decoded.value());
+      entry.revision = item.revision;
+      change.kind = Kind::kWorkerListed;
+      change.detail =
+          absl::StrCat("service=", entry.service, " address=", entry.address,
+                       " draining=", entry.draining, " slots=", entry.slots,
+                       " cold_s=", absl::ToDoubleSeconds(entry.cold_remaining));
+      catalog::PutWorker(state.workers, std::move(entry), now);
+      state.items[item.key] = item;
+      return change;
+    }
+    change.kind = Kind::kEntryIgnored;
+    change.detail = decoded.error().detail;
+  }
+  // A damaged entry names no worker either.
+  catalog::RemoveWorker(state.workers, instance, item.revision, now);
+  state.items.erase(item.key);
+  return change;
+}
+
+}  // namespace
+
+std::vector<StoreChange> ApplyItems(
+    StoreState& state,
+    const std::vector<schema::KeyValue>& changes,
+    absl::Time now) {
+  std::vector<StoreChange> applied;
+  for (const schema::KeyValue& item : changes) {
+    if (item.key == state.dialect.config_key) {
+      applied.push_back(ApplyConfig(state, item));
+    } else if (absl::StartsWith(item.key, state.dialect.worker_prefix)) {
+      applied.push_back(ApplyWorker(state, item, now));
+    }
+  }
+  return applied;
+}
+
+schema::StoreCopy MakeStoreCopy(const StoreState& state) {
+  schema::StoreCopy copy;
+  copy.config_revision = state.routes == nullptr ? 0 : state.routes->revision;
+  copy.directory_revision = state.workers.revision;
+  for (const auto& [key, item] : state.items) {
+    copy.items.push_back(item);
+  }
+  return copy;
+}
+
+}  // namespace boragepaddle::proxy
--- /dev/null
+++ b/src/boragepaddle/proxy/store_state.h
@@ -0,0 +1,55 @@
+#ifndef BORAGEPADDLE_PROXY_STORE_STATE_H_
+#define BORAGEPADDLE_PROXY_STORE_STATE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "absl/time/time.h"
+#include "boragepaddle/catalog/route_catalog.h"
+#include "boragepaddle/catalog/worker_directory.h"
+#include "boragepaddle/proxy/dialect.h"
+#include "boragepaddle/schema/messages.h"
+
+namespace boragepaddle::proxy {
+
+/// Something that the state did with an item, for the log.
+struct StoreChange {
+  enum class Kind : uint8_t {
+    kConfigAccepted,
+    kConfigRefused,
+    kWorkerListed,
+    kWorkerRemoved,
+    kEntryIgnored,
+  };
+  Kind kind = Kind::kEntryIgnored;
+  std::string key;
+  uint64_t revision = 0;
+  std::string detail;
+};
+
+/// What this node knows of the store: the routes in force and the workers.
+struct StoreState {
+  StoreDialect dialect;
+  /// Null before the first configuration.
+  std::shared_ptr<const catalog::RouteCatalog> routes;
+  catalog::WorkerDirectory workers;
+  /// Items in force as they were read, for nodes that cannot read them.
+  absl::btree_map<std::string, schema::KeyValue> items;
+};
+
+/// Applies items in the order of their revisions. An older configuration never
+/// replaces a newer one.
+std::vector<StoreChange> ApplyItems(
+    StoreState& state,
+    const std::vector<schema::KeyValue>& changes,
+    absl::Time now);
+
+/// Copy for a node that started without the store.
+schema::StoreCopy MakeStoreCopy(const StoreState& state);
+
+}  // namespace boragepaddle::proxy
+
+#endif  // BORAGEPADDLE_PROXY_STORE_STATE_H_
--- /dev/null
+++ b/src/boragepaddle/proxy/worker_side.cc
@@ -0,0 +1,290 @@
+#include "boragepaddle/proxy/worker_side.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "boragepaddle/event/clock.h"
+
+namespace boragepaddle::proxy {
+
+namespace {
+
+using schema::Outcome;
+using schema::Reason;
+
+/// Slots of a worker whose entry is not known here.
+constexpr uint32_t kUnlistedSlots = 16;
+
+/// A call with less time left is not given to the worker.
+constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(5);
+
+Outcome OutcomeOf(event::WorkerEnd end) {
+  switch (end) {
+    case event::WorkerEnd::kAnswered:
+      return Outcome::kCompleted;
+    case event::WorkerEnd::kNotRun:
+    case event::WorkerEnd::kNotSent:
+      return Outcome::kNotRun;
+    case event::WorkerEnd::kLost:
+    case event::WorkerEnd::kSpoiled:
+    case event::WorkerEnd::kCancelled:
+      return Outcome::kUnknown;
+  }
+  return Outcome::kUnknown;
+}
+
+Reason ReasonOf(event::WorkerEnd end) {
+  switch (end) {
+    case event::WorkerEnd::kAnswered:
+      return Reason::kNone;
+    case event::WorkerEnd::kNotRun:
+      return Reason::kOverloaded;
+    case event::WorkerEnd::kNotSent:
+    case event::WorkerEnd::kLost:
+    case event::WorkerEnd::kSpoiled:
+      return Reason::kWorkerLost;
+    case event::WorkerEnd::kCancelled:
+      return Reason::kCancelled;
+  }
+  return Reason::kWorkerLost;
+}
+
+}  // namespace
+
+WorkerSide::WorkerSide(const NodeSettings& settings,
+                       const HttpDialect& dialect,
+                       const StoreState& store,
+                       event::WorkerPool& pool,
+                       telemetry::EventLog& log)
+    : settings(settings),
+      dialect(dialect),
+      store(store),
+      pool(pool),
+      log(log),
+      gate(admission::MakeWorkerGate(admission::GateSettings())) {
+  this->OnDirectory();
+}
+
+const catalog::WorkerEntry* WorkerSide::OwnWorker() const {
+  return catalog::FindByAddress(this->store.workers,
+                                this->settings.worker_address);
+}
+
+void WorkerSide::OnDirectory() {
+  const catalog::WorkerEntry* worker = this->OwnWorker();
+  this->gate.slots = worker == nullptr ? kUnlistedSlots : worker->slots;
+  if (worker == nullptr || !worker->draining) {
+    return;
+  }
+  for (const uint64_t id : admission::RefuseQueued(this->gate)) {
+    this->Refuse(id, Reason::kLeaving);
+  }
+}
+
+Reason WorkerSide::Check(const schema::HttpCall& call) const {
+  if (this->leaving) {
+    return Reason::kLeaving;
+  }
+  const catalog::WorkerEntry* worker = this->OwnWorker();
+  if (worker == nullptr) {
+    // Without a list of its own the node relies on the sender's; the worker
+    // refuses a call that names another instance.
+    return this->store.workers.entries.empty() ? Reason::kNone
+                                               : Reason::kNoUpstream;
+  }
+  if (worker->draining) {
+    return Reason::kLeaving;
+  }
+  const bool same =
+      worker->instance == call.instance && worker->service == call.service;
+  return same ? Reason::kNone : Reason::kIncarnationGone;
+}
+
+uint64_t WorkerSide::Handle(schema::HttpCall message, Reply reply) {
+  const absl::Time now = event::BootNow();
+  const uint64_t id = this->next_id++;
+  Call& call = this->calls[id];
+  call.message = std::move(message);
+  call.reply = std::move(reply);
+  call.arrived = now;
+  call.give_up_at = now + absl::Microseconds(call.message.time_left_us);
+  const Reason refusal = this->Check(call.message);
+  if (refusal != Reason::kNone) {
+    this->Refuse(id, refusal);
+    return id;
+  }
+  admission::GateCall asked;
+  asked.id = id;
+  asked.priority = call.message.priority;
+  asked.nested = call.message.nested;
+  asked.objective = absl::Microseconds(call.message.objective_us);
+  asked.give_up_at = call.give_up_at;
+  this->Perform(admission::OnGateArrival(this->gate, asked, now), now);
+  return id;
+}
+
+void WorkerSide::Perform(const admission::GateActions& actions,
+                         absl::Time now) {
+  for (const uint64_t id : actions.refuse) {
+    this->Refuse(id, Reason::kOverloaded);
+  }
+  for (const uint64_t id : actions.start) {
+    this->StartCall(id, now);
+  }
+}
+
+void WorkerSide::StartCall(uint64_t id, absl::Time now) {
+  Call& call = this->calls.at(id);
+  if (call.give_up_at - now < kMinTimeLeft) {
+    this->Perform(
+        admission::OnGateFinished(this->gate, id, /*completed=*/false, now),
+        now);
+    this->Refuse(id, Reason::kDeadline);
+    return;
+  }
+  call.started = true;
+  this->pool.Send(id, this->MakeRequest(call, now),
+                  [this, id](event::WorkerResult result) {
+                    this->OnResult(id, std::move(result));
+                  });
+}
+
+event::WorkerRequest WorkerSide::MakeRequest(Call& call, absl::Time now) const {
+  event::WorkerRequest request;
+  schema::HttpCall& message = call.message;
+  request.request_id = message.request_id;
+  request.method = message.method;
+  request.target = message.target;
+  for (schema::HttpField& field : message.fields) {
+    if (absl::EqualsIgnoreCase(field.name, "Host")) {
+      request.host = std::move(field.value);
+      continue;
+    }
+    request.fields.push_back(std::move(field));
+  }
+  request.fields.push_back(
+      {this->dialect.time_left_ms,
+       absl::StrCat(absl::ToInt64Milliseconds(call.give_up_at - now))});
+  request.fields.push_back({this->dialect.expected_instance, message.instance});
+  request.fields.push_back(
+      {this->dialect.origin_service, message.origin_service});
+  request.body = std::move(message.body);
+  return request;
+}
+
+void WorkerSide::OnResult(uint64_t id, event::WorkerResult result) {
+  const absl::Time now = event::BootNow();
+  const bool completed = result.end == event::WorkerEnd::kAnswered;
+  this->Perform(admission::OnGateFinished(this->gate, id, completed, now), now);
+  schema::HttpAnswer answer;
+  answer.outcome = OutcomeOf(result.end);
+  answer.reason = ReasonOf(result.end);
+  answer.offered = result.end != event::WorkerEnd::kNotSent;
+  answer.status = result.status;
+  answer.fields = std::move(result.fields);
+  answer.body = std::move(result.body);
+  this->Finish(id, std::move(answer));
+}
+
+void WorkerSide::Refuse(uint64_t id, Reason reason) {
+  schema::HttpAnswer answer;
+  answer.outcome = Outcome::kNotRun;
+  answer.reason = reason;
+  const auto found = this->calls.find(id);
+  if (reason == Reason::kOverloaded && found != this->calls.end()) {
+    const schema::HttpCall& call = found->second.message;
+    answer.retry_after_us = absl::ToInt64Microseconds(std::min(
+        absl::Seconds(5),
+        admission::ExpectedWait(this->gate, call.priority, call.nested)));
+  }
+  this->Finish(id, std::move(answer));
+}
+
+void WorkerSide::Finish(uint64_t id, schema::HttpAnswer answer) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  Call call = std::move(found->second);
+  this->calls.erase(found);
+  answer.call_id = call.message.call_id;
+  answer.load = this->Load();
+  this->LogEnd(call, answer);
+  if (!call.cancelled) {
+    call.reply(std::move(answer));
+  }
+}
+
+void WorkerSide::LogEnd(const Call& call, const schema::HttpAnswer& answer) {
+  const bool served =
+      answer.outcome == Outcome::kCompleted && answer.status < 500;
+  const absl::Time now = event::BootNow();
+  if (served && !this->log.WantsServed(now)) {
+    return;
+  }
+  telemetry::LogLine line("worker", served ? "served" : "ended");
+  line.Add("request", call.message.request_id)
+      .Add("outcome", schema::ToString(answer.outcome))
+      .Add("reason", schema::ToString(answer.reason))
+      .Add("status", answer.status)
+      .Add("instance", call.message.instance)
+      .Add("priority", call.message.priority)
+      .Add("nested", call.message.nested)
+      .Add("ms", absl::ToInt64Milliseconds(now - call.arrived))
+      .Add("running", answer.load.running)
+      .Add("queued", answer.load.queued)
+      .Add("limit", answer.load.limit);
+  if (served) {
+    this->log.Served(line);
+    return;
+  }
+  this->log.Failed(line, now);
+}
+
+void WorkerSide::Cancel(uint64_t id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  found->second.cancelled = true;
+  if (admission::OnGateCancel(this->gate, id)) {
+    this->Refuse(id, Reason::kSenderGone);
+    return;
+  }
+  // Work that may not be repeated is left to end: its caller may have left,
+  // but its effect is wanted.
+  if (found->second.message.repeatable ||
+      event::BootNow() >= found->second.give_up_at) {
+    this->pool.Cancel(id);
+  }
+}
+
+void WorkerSide::OnPause() {
+  for (const uint64_t id : admission::RefuseQueued(this->gate)) {
+    this->Refuse(id, Reason::kPaused);
+  }
+}
+
+void WorkerSide::Tick(absl::Time now) {
+  this->Perform(admission::OnGateTick(this->gate, now), now);
+}
+
+schema::GateLoad WorkerSide::Load() const {
+  schema::GateLoad load;
+  load.running = static_cast<uint32_t>(this->gate.running.size());
+  load.queued = static_cast<uint32_t>(this->gate.queue.size());
+  load.limit = admission::GateLimit(this->gate);
+  return load;
+}
+
+schema::LoadNotice WorkerSide::Notice() const {
+  schema::LoadNotice notice;
+  notice.service = this->settings.service;
+  notice.taking = !this->leaving;
+  notice.load = this->Load();
+  return notice;
+}
+
+}  // namespace boragepaddle::proxy
--- /dev/null
+++ b/src/boragepaddle/retry/repeat_budget.h
@@ -0,0 +1,54 @@
+#ifndef BORAGEPADDLE_RETRY_REPEAT_BUDGET_H_
+#define BORAGEPADDLE_RETRY_REPEAT_BUDGET_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "absl/time/time.h"
+
+namespace boragepaddle::retry {
+
+/// This node's part of a limit that holds for all nodes together: a share of
+/// its own requests, and its part of a fixed allowance.
+struct RepeatBudgetSettings {
+  /// Repeats allowed per request.
+  double ratio = 0.2;
+  /// Repeats allowed besides, over all nodes.
+  double allowance = 0;
+  /// Length of any window in which the limit holds.
+  absl::Duration window = absl::Seconds(10);
+  /// Part of the limit that is used, since nodes count at other moments than
+  /// the judge of the limit.
+  double safety = 0.6;
+};
+
+/// Requests and repeats for one service in the last window, in slices.
+struct RepeatBudget {
+  static constexpr size_t kSlices = 20;
+
+  struct Slice {
+    int64_t number = -1;
+    uint32_t requests = 0;
+    double repeats = 0;
+  };
+
+  std::array<Slice, kSlices> slices;
+};
+
+/// Counts the first attempt of a request.
+void CountRequest(RepeatBudget& budget,
+                  const RepeatBudgetSettings& settings,
+                  absl::Time now);
+
+/// True, and counts `repeats`, if they fit into the part of a node among
+/// `nodes`.
+bool TakeRepeats(RepeatBudget& budget,
+                 const RepeatBudgetSettings& settings,
+                 double repeats,
+                 size_t nodes,
+                 absl::Time now);
+
+}  // namespace boragepaddle::retry
+
+#endif  // BORAGEPADDLE_RETRY_REPEAT_BUDGET_H_
--- /dev/null
+++ b/src/boragepaddle/routing/worker_choice.cc
@@ -0,0 +1,173 @@
+#include "boragepaddle/routing/worker_choice.h"
+
+#include <algorithm>
+
+#include "absl/algorithm/container.h"
+
+namespace boragepaddle::routing {
+
+namespace {
+
+/// Unlisted slots are taken as this number.
+constexpr uint32_t kDefaultSlots = 16;
+
+/// Load added for the random part of a choice, so that several nodes with the
+/// same reports do not all choose the same worker.
+constexpr double kSpread = 0.08;
+
+const WorkerLoad* FindLoad(const LoadTable& table, const std::string& id) {
+  const auto found = table.workers.find(id);
+  return found == table.workers.end() ? nullptr : &found->second;
+}
+
+/// Load of the other nodes according to the last report.
+double OthersLoad(const ChoiceSettings& settings,
+                  const WorkerLoad& load,
+                  absl::Time now) {
+  const absl::Duration age = now - load.reported_at;
+  if (age >= settings.report_life) {
+    return 0;
+  }
+  const double reported = load.reported.running + load.reported.queued;
+  const double others = std::max(0.0, reported - load.in_flight_at_report);
+  return others * (1 - absl::FDivDuration(age, settings.report_life));
+}
+
+/// Share of its slots that a worker can use shortly after its start.
+double ColdFactor(const ChoiceSettings& settings,
+                  const catalog::WorkerEntry& entry,
+                  absl::Time now) {
+  const absl::Time warm_at = entry.seen_at + entry.cold_remaining;
+  if (entry.cold_remaining <= absl::ZeroDuration() || now >= warm_at) {
+    return 1;
+  }
+  const double left = absl::FDivDuration(warm_at - now, entry.cold_remaining);
+  return settings.cold_share + (1 - settings.cold_share) * (1 - left);
+}
+
+bool HasRoom(const LoadTable& table,
+             const catalog::WorkerEntry& entry,
+             absl::Time now) {
+  const WorkerLoad* load = FindLoad(table, entry.instance);
+  return load == nullptr || (!load->refusing && now >= load->avoid_until);
+}
+
+/// A repeatable pseudo-random number in [0, 1) for one candidate.
+double Fraction(uint64_t random, size_t index) {
+  uint64_t mixed = random + 0x9e3779b97f4a7c15u * (index + 1);
+  mixed ^= mixed >> 30;
+  mixed *= 0xbf58476d1ce4e5b9u;
+  mixed ^= mixed >> 27;
+  return static_cast<double>(mixed >> 11) / 9007199254740992.0;
+}
+
+}  // namespace
+
+void OnCallSent(LoadTable& table, absl::string_view instance) {
+  ++table.workers[std::string(instance)].in_flight;
+}
+
+void OnCallEnded(LoadTable& table,
+                 absl::string_view instance,
+                 const schema::GateLoad& load,
+                 bool failed,
+                 absl::Time now) {
+  WorkerLoad& worker = table.workers[std::string(instance)];
+  worker.in_flight -= std::min<uint32_t>(worker.in_flight, 1);
+  worker.reported = load;
+  worker.reported_at = now;
+  worker.in_flight_at_report = worker.in_flight;
+  const double weight = table.settings.failure_weight;
+  worker.failures = worker.failures * (1 - weight) + (failed ? weight : 0);
+}
+
+void OnCallLost(LoadTable& table, absl::string_view instance) {
+  WorkerLoad& worker = table.workers[std::string(instance)];
+  worker.in_flight -= std::min<uint32_t>(worker.in_flight, 1);
+}
+
+void OnUnreachable(LoadTable& table,
+                   absl::string_view instance,
+                   absl::Time now) {
+  WorkerLoad& worker = table.workers[std::string(instance)];
+  worker.avoid_until = now + table.settings.unreachable_pause;
+  worker.reported_at = absl::InfinitePast();
+}
+
+void OnNoRoom(LoadTable& table, absl::string_view instance, absl::Time now) {
+  table.workers[std::string(instance)].avoid_until =
+      now + table.settings.full_pause;
+}
+
+void OnLoadNotice(LoadTable& table,
+                  absl::string_view instance,
+                  const schema::LoadNotice& notice,
+                  absl::Time now) {
+  WorkerLoad& worker = table.workers[std::string(instance)];
+  worker.refusing = !notice.taking;
+  worker.reported = notice.load;
+  worker.reported_at = now;
+  worker.in_flight_at_report = worker.in_flight;
+}
+
+void ForgetUnlisted(LoadTable& table,
+                    const catalog::WorkerDirectory& directory) {
+  for (auto worker = table.workers.begin(); worker != table.workers.end();) {
+    const bool listed = directory.entries.contains(worker->first);
+    worker = listed || worker->second.in_flight > 0
+                 ? std::next(worker)
+                 : table.workers.erase(worker);
+  }
+}
+
+double EstimatedLoad(const LoadTable& table,
+                     const catalog::WorkerEntry& entry,
+                     absl::Time now) {
+  const ChoiceSettings& settings = table.settings;
+  const WorkerLoad* load = FindLoad(table, entry.instance);
+  const uint32_t slots = entry.slots > 0 ? entry.slots : kDefaultSlots;
+  const double room = slots * ColdFactor(settings, entry, now);
+  if (load == nullptr) {
+    return 1 / room;
+  }
+  const double busy = load->in_flight + OthersLoad(settings, *load, now) + 1;
+  return busy / room + load->failures * settings.failure_load;
+}
+
+const catalog::WorkerEntry* ChooseWorker(
+    const LoadTable& table,
+    const catalog::WorkerDirectory& directory,
+    const ChoiceQuery& query) {
+  const ChoiceSettings& settings = table.settings;
+  const catalog::WorkerEntry* best = nullptr;
+  double best_cost = 0;
+  size_t index = 0;
+  for (const auto& [instance, entry] : directory.entries) {
+    ++index;
+    if (entry.service != query.service || entry.draining ||
+        absl::c_linear_search(query.exclude, instance)) {
+      continue;
+    }
+    const bool room = HasRoom(table, entry, query.now);
+    if (!room && query.only_with_room) {
+      continue;
+    }
+    double cost = EstimatedLoad(table, entry, query.now);
+    if (entry.availability_zone == query.availability_zone) {
+      // All loads below the threshold are as good as none.
+      cost = cost < settings.local_load ? cost * 0.01 : cost;
+    } else {
+      cost += settings.crossing_load;
+    }
+    cost += Fraction(query.random, index) * kSpread;
+    // Workers without room are the last choice.
+    cost += room ? 0 : 100;
+    if (best == nullptr || cost < best_cost) {
+      best = &entry;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace boragepaddle::routing
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -158,6 +158,32 @@
   return !(a == b);
 }
 
+bool operator==(const HttpField& a, const HttpField& b) {
+  return a.name == b.name && a.value == b.value;
+}
+
+bool operator!=(const HttpField& a, const HttpField& b) {
+  return !(a == b);
+}
+
+bool operator==(const KeyValue& a, const KeyValue& b) {
+  return a.key == b.key && a.value == b.value && a.revision == b.revision &&
+         a.removed == b.removed;
+}
+
+bool operator!=(const KeyValue& a, const KeyValue& b) {
+  return !(a == b);
+}
+
+bool operator==(const GateLoad& a, const GateLoad& b) {
+  return a.running == b.running && a.queued == b.queued && a.limit == b.limit &&
+         a.pressure == b.pressure;
+}
+
+bool operator!=(const GateLoad& a, const GateLoad& b) {
+  return !(a == b);
+}
+
 bool operator==(const Hello& a, const Hello& b) {
   return a.fleet == b.fleet && a.vm_id == b.vm_id &&
          a.incarnation == b.incarnation && a.member == b.member &&
@@ -312,6 +338,75 @@
   return !(a == b);
 }
 
+bool operator==(const HttpCall& a, const HttpCall& b) {
+  return a.call_id == b.call_id && a.request_id == b.request_id &&
+         a.service == b.service && a.instance == b.instance &&
+         a.origin_service == b.origin_service && a.priority == b.priority &&
+         a.repeatable == b.repeatable && a.repeat == b.repeat &&
+         a.nested == b.nested && a.time_left_us == b.time_left_us &&
+         a.objective_us == b.objective_us && a.method == b.method &&
+         a.target == b.target && a.fields == b.fields && a.body == b.body;
+}
+
+bool operator!=(const HttpCall& a, const HttpCall& b) {
+  return !(a == b);
+}
+
+bool operator==(const HttpAnswer& a, const HttpAnswer& b) {
+  return a.call_id == b.call_id && a.outcome == b.outcome &&
+         a.reason == b.reason && a.offered == b.offered &&
+         a.retry_after_us == b.retry_after_us && a.status == b.status &&
+         a.fields == b.fields && a.body == b.body && a.load == b.load;
+}
+
+bool operator!=(const HttpAnswer& a, const HttpAnswer& b) {
+  return !(a == b);
+}
+
+bool operator==(const HttpCancel& a, const HttpCancel& b) {
+  return a.call_id == b.call_id;
+}
+
+bool operator!=(const HttpCancel& a, const HttpCancel& b) {
+  return !(a == b);
+}
+
+bool operator==(const PeerHello& a, const PeerHello& b) {
+  return a.vm_id == b.vm_id && a.host == b.host && a.service == b.service &&
+         a.incarnation == b.incarnation &&
+         a.config_revision == b.config_revision &&
+         a.directory_revision == b.directory_revision;
+}
+
+bool operator!=(const PeerHello& a, const PeerHello& b) {
+  return !(a == b);
+}
+
+bool operator==(const LoadNotice& a, const LoadNotice& b) {
+  return a.service == b.service && a.taking == b.taking && a.load == b.load;
+}
+
+bool operator!=(const LoadNotice& a, const LoadNotice& b) {
+  return !(a == b);
+}
+
+bool operator==(const Heartbeat& a, const Heartbeat& b) {
+  return a.reply == b.reply;
+}
+
+bool operator!=(const Heartbeat& a, const Heartbeat& b) {
+  return !(a == b);
+}
+
+bool operator==(const StoreCopy& a, const StoreCopy& b) {
+  return a.config_revision == b.config_revision &&
+         a.directory_revision == b.directory_revision && a.items == b.items;
+}
+
+bool operator!=(const StoreCopy& a, const StoreCopy& b) {
+  return !(a == b);
+}
+
 void Pack(Packer& packer, CallClass value) {
   packer.pack(static_cast<uint8_t>(value));
 }
@@ -382,6 +477,53 @@
   return reader.ok();
 }
 
+void Pack(Packer& packer, const HttpField& value) {
+  packer.pack_array(2);
+  Pack(packer, value.name);
+  Pack(packer, value.value);
+}
+
+bool Unpack(const msgpack::object& object, HttpField* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->name);
+  reader.Next(&value->value);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const KeyValue& value) {
+  packer.pack_array(4);
+  Pack(packer, value.key);
+  Pack(packer, value.value);
+  Pack(packer, value.revision);
+  Pack(packer, value.removed);
+}
+
+bool Unpack(const msgpack::object& object, KeyValue* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->key);
+  reader.Next(&value->value);
+  reader.Next(&value->revision);
+  reader.Next(&value->removed);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const GateLoad& value) {
+  packer.pack_array(4);
+  Pack(packer, value.running);
+  Pack(packer, value.queued);
+  Pack(packer, value.limit);
+  Pack(packer, value.pressure);
+}
+
+bool Unpack(const msgpack::object& object, GateLoad* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->running);
+  reader.Next(&value->queued);
+  reader.Next(&value->limit);
+  reader.Next(&value->pressure);
+  return reader.ok();
+}
+
 void Pack(Packer& packer, const Hello& value) {
   packer.pack_array(10);
   Pack(packer, value.fleet);
@@ -686,6 +828,145 @@
   return reader.ok();
 }
 
+void Pack(Packer& packer, const HttpCall& value) {
+  packer.pack_array(15);
+  Pack(packer, value.call_id);
+  Pack(packer, value.request_id);
+  Pack(packer, value.service);
+  Pack(packer, value.instance);
+  Pack(packer, value.origin_service);
+  Pack(packer, value.priority);
+  Pack(packer, value.repeatable);
+  Pack(packer, value.repeat);
+  Pack(packer, value.nested);
+  Pack(packer, value.time_left_us);
+  Pack(packer, value.objective_us);
+  Pack(packer, value.method);
+  Pack(packer, value.target);
+  Pack(packer, value.fields);
+  Pack(packer, value.body);
+}
+
+bool Unpack(const msgpack::object& object, HttpCall* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->call_id);
+  reader.Next(&value->request_id);
+  reader.Next(&value->service);
+  reader.Next(&value->instance);
+  reader.Next(&value->origin_service);
+  reader.Next(&value->priority);
+  reader.Next(&value->repeatable);
+  reader.Next(&value->repeat);
+  reader.Next(&value->nested);
+  reader.Next(&value->time_left_us);
+  reader.Next(&value->objective_us);
+  reader.Next(&value->method);
+  reader.Next(&value->target);
+  reader.Next(&value->fields);
+  reader.Next(&value->body);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const HttpAnswer& value) {
+  packer.pack_array(9);
+  Pack(packer, value.call_id);
+  Pack(packer, value.outcome);
+  Pack(packer, value.reason);
+  Pack(packer, value.offered);
+  Pack(packer, value.retry_after_us);
+  Pack(packer, value.status);
+  Pack(packer, value.fields);
+  Pack(packer, value.body);
+  Pack(packer, value.load);
+}
+
+bool Unpack(const msgpack::object& object, HttpAnswer* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->call_id);
+  reader.Next(&value->outcome);
+  reader.Next(&value->reason);
+  reader.Next(&value->offered);
+  reader.Next(&value->retry_after_us);
+  reader.Next(&value->status);
+  reader.Next(&value->fields);
+  reader.Next(&value->body);
+  reader.Next(&value->load);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const HttpCancel& value) {
+  packer.pack_array(1);
+  Pack(packer, value.call_id);
+}
+
+bool Unpack(const msgpack::object& object, HttpCancel* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->call_id);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const PeerHello& value) {
+  packer.pack_array(6);
+  Pack(packer, value.vm_id);
+  Pack(packer, value.host);
+  Pack(packer, value.service);
+  Pack(packer, value.incarnation);
+  Pack(packer, value.config_revision);
+  Pack(packer, value.directory_revision);
+}
+
+bool Unpack(const msgpack::object& object, PeerHello* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->vm_id);
+  reader.Next(&value->host);
+  reader.Next(&value->service);
+  reader.Next(&value->incarnation);
+  reader.Next(&value->config_revision);
+  reader.Next(&value->directory_revision);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const LoadNotice& value) {
+  packer.pack_array(3);
+  Pack(packer, value.service);
+  Pack(packer, value.taking);
+  Pack(packer, value.load);
+}
+
+bool Unpack(const msgpack::object& object, LoadNotice* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->service);
+  reader.Next(&value->taking);
+  reader.Next(&value->load);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const Heartbeat& value) {
+  packer.pack_array(1);
+  Pack(packer, value.reply);
+}
+
+bool Unpack(const msgpack::object& object, Heartbeat* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->reply);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const StoreCopy& value) {
+  packer.pack_array(3);
+  Pack(packer, value.config_revision);
+  Pack(packer, value.directory_revision);
+  Pack(packer, value.items);
+}
+
+bool Unpack(const msgpack::object& object, StoreCopy* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->config_revision);
+  reader.Next(&value->directory_revision);
+  reader.Next(&value->items);
+  return reader.ok();
+}
+
 template <typename T>
 base::Result<Message, DecodeError> DecodeAs(const msgpack::object& fields) {
   T value;
@@ -730,6 +1011,20 @@
       return DecodeAs<ListDelta>(fields);
     case 15:
       return DecodeAs<DigestExchange>(fields);
+    case 30:
+      return DecodeAs<HttpCall>(fields);
+    case 31:
+      return DecodeAs<HttpAnswer>(fields);
+    case 32:
+      return DecodeAs<HttpCancel>(fields);
+    case 33:
+      return DecodeAs<PeerHello>(fields);
+    case 34:
+      return DecodeAs<LoadNotice>(fields);
+    case 35:
+      return DecodeAs<Heartbeat>(fields);
+    case 36:
+      return DecodeAs<StoreCopy>(fields);
     default:
       return DecodeError{DecodeErrorCode::kUnknownKind};
   }
@@ -799,6 +1094,34 @@
   return 15;
 }
 
+uint32_t KindOf(const HttpCall& /*message*/) {
+  return 30;
+}
+
+uint32_t KindOf(const HttpAnswer& /*message*/) {
+  return 31;
+}
+
+uint32_t KindOf(const HttpCancel& /*message*/) {
+  return 32;
+}
+
+uint32_t KindOf(const PeerHello& /*message*/) {
+  return 33;
+}
+
+uint32_t KindOf(const LoadNotice& /*message*/) {
+  return 34;
+}
+
+uint32_t KindOf(const Heartbeat& /*message*/) {
+  return 35;
+}
+
+uint32_t KindOf(const StoreCopy& /*message*/) {
+  return 36;
+}
+
 std::string Encode(const Message& message) {
   return EncodeFrame(message, [](Packer& packer, const auto& value) {
     packer.pack_array(2);
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -142,6 +142,41 @@
 bool operator==(const FileText& a, const FileText& b);
 bool operator!=(const FileText& a, const FileText& b);
 
+/// One HTTP header field.
+struct HttpField {
+  std::string name;
+  std::string value;
+};
+/// Compares all fields.
+bool operator==(const HttpField& a, const HttpField& b);
+bool operator!=(const HttpField& a, const HttpField& b);
+
+/// One item of the platform's store, as read.
+struct KeyValue {
+  std::string key;
+  std::string value;
+  /// Revision of the item's last change.
+  uint64_t revision = 0;
+  bool removed = false;
+};
+/// Compares all fields.
+bool operator==(const KeyValue& a, const KeyValue& b);
+bool operator!=(const KeyValue& a, const KeyValue& b);
+
+/// Load of the worker beside a node.
+struct GateLoad {
+  uint32_t running = 0;
+  uint32_t queued = 0;
+  /// Calls that may run at once; 0 if the worker takes none.
+  uint32_t limit = 0;
+  /// Share of root requests to hold back, in thousandths of a priority; 0
+  /// admits all.
+  uint32_t pressure = 0;
+};
+/// Compares all fields.
+bool operator==(const GateLoad& a, const GateLoad& b);
+bool operator!=(const GateLoad& a, const GateLoad& b);
+
 /// First frame in each direction of a connection.
 struct Hello {
   std::string fleet;
@@ -364,6 +399,111 @@
 bool operator==(const DigestExchange& a, const DigestExchange& b);
 bool operator!=(const DigestExchange& a, const DigestExchange& b);
 
+/// One attempt of an HTTP call for the worker beside the receiver.
+struct HttpCall {
+  /// Unique on the connection.
+  uint64_t call_id = 0;
+  std::string request_id;
+  std::string service;
+  /// Instance of the worker that the sender chose.
+  std::string instance;
+  /// Service of the VM where the request began.
+  std::string origin_service;
+  /// 0 is the most important.
+  uint32_t priority = 0;
+  /// May run more than once.
+  bool repeatable = false;
+  /// An earlier attempt may have run.
+  bool repeat = false;
+  /// Made by a worker for a request that it runs.
+  bool nested = false;
+  /// Until the caller gives up, in microseconds.
+  int64_t time_left_us = 0;
+  /// Time left to the latency objective, in microseconds.
+  int64_t objective_us = 0;
+  std::string method;
+  /// Path and query as the client sent them.
+  std::string target;
+  std::vector<HttpField> fields;
+  std::string body;
+};
+/// Compares all fields.
+bool operator==(const HttpCall& a, const HttpCall& b);
+bool operator!=(const HttpCall& a, const HttpCall& b);
+
+/// End of an HttpCall.
+struct HttpAnswer {
+  uint64_t call_id = 0;
+  Outcome outcome = Outcome::kNotRun;
+  Reason reason = Reason::kNone;
+  /// The worker was given the call.
+  bool offered = false;
+  /// When there will be room again, in microseconds; 0 if not known.
+  int64_t retry_after_us = 0;
+  /// HTTP status of the worker if completed.
+  uint32_t status = 0;
+  std::vector<HttpField> fields;
+  std::string body;
+  GateLoad load;
+};
+/// Compares all fields.
+bool operator==(const HttpAnswer& a, const HttpAnswer& b);
+bool operator!=(const HttpAnswer& a, const HttpAnswer& b);
+
+/// The sender no longer waits for the call.
+struct HttpCancel {
+  uint64_t call_id = 0;
+};
+/// Compares all fields.
+bool operator==(const HttpCancel& a, const HttpCancel& b);
+bool operator!=(const HttpCancel& a, const HttpCancel& b);
+
+/// First frame in each direction between two nodes of the HTTP path.
+struct PeerHello {
+  std::string vm_id;
+  /// IP address of the sender's VM.
+  std::string host;
+  std::string service;
+  /// Random per process start.
+  uint64_t incarnation = 0;
+  /// 0 if none is known.
+  uint64_t config_revision = 0;
+  /// 0 if none is known.
+  uint64_t directory_revision = 0;
+};
+/// Compares all fields.
+bool operator==(const PeerHello& a, const PeerHello& b);
+bool operator!=(const PeerHello& a, const PeerHello& b);
+
+/// Unasked report of a worker's load.
+struct LoadNotice {
+  std::string service;
+  /// False while the node takes no new calls.
+  bool taking = false;
+  GateLoad load;
+};
+/// Compares all fields.
+bool operator==(const LoadNotice& a, const LoadNotice& b);
+bool operator!=(const LoadNotice& a, const LoadNotice& b);
+
+/// Shows that a connection is alive.
+struct Heartbeat {
+  bool reply = false;
+};
+/// Compares all fields.
+bool operator==(const Heartbeat& a, const Heartbeat& b);
+bool operator!=(const Heartbeat& a, const Heartbeat& b);
+
+/// Items of the store, for a node that cannot read them.
+struct StoreCopy {
+  uint64_t config_revision = 0;
+  uint64_t directory_revision = 0;
+  std::vector<KeyValue> items;
+};
+/// Compares all fields.
+bool operator==(const StoreCopy& a, const StoreCopy& b);
+bool operator!=(const StoreCopy& a, const StoreCopy& b);
+
 /// Any message between nodes.
 using Message = std::variant<Hello,
                              CallRequest,
@@ -380,7 +520,14 @@
                              ListAnnounce,
                              ListFetch,
                              ListDelta,
-                             DigestExchange>;
+                             DigestExchange,
+                             HttpCall,
+                             HttpAnswer,
+                             HttpCancel,
+                             PeerHello,
+                             LoadNotice,
+                             Heartbeat,
+                             StoreCopy>;
 
 /// Encodes a message as a msgpack array of its kind and its fields.
 std::string Encode(const Message& message);
--- a/tests/unit/platform_answer_test.cc
+++ b/tests/unit/platform_answer_test.cc
@@ -1,10 +1,10 @@
-#include "boragepaddle/platform/platform_answer.h"
+#include "boragepaddle/config_service/platform_answer.h"
 
 #include <doctest/doctest.h>
 
 #include <string>
 
-namespace boragepaddle::platform {
+namespace boragepaddle::config_service {
 namespace {
 
 TEST_CASE("platform: a configuration answer is read") {
@@ -47,4 +47,4 @@
 }
 
 }  // namespace
-}  // namespace boragepaddle::platform
+}  // namespace boragepaddle::config_service
--- a/tests/unit/watch_thread_test.cc
+++ b/tests/unit/watch_thread_test.cc
@@ -1,4 +1,4 @@
-#include "boragepaddle/platform/watch_thread.h"
+#include "boragepaddle/config_service/watch_thread.h"
 
 #include <doctest/doctest.h>
 
@@ -12,7 +12,7 @@
 #include "boragepaddle/transport/http_listener.h"
 #include "boragepaddle/transport/socket.h"
 
-namespace boragepaddle::platform {
+namespace boragepaddle::config_service {
 namespace {
 
 constexpr absl::Duration kPatience = absl::Seconds(5);
@@ -120,4 +120,4 @@
 }
 
 }  // namespace
-}  // namespace boragepaddle::platform
+}  // namespace boragepaddle::config_service
