--- a/src/boragepaddle/config_service/platform_error.h
+++ b/src/boragepaddle/config_service/platform_error.h
@@ -1,11 +1,11 @@
-#ifndef BORAGEPADDLE_PLATFORM_PLATFORM_ERROR_H_
-#define BORAGEPADDLE_PLATFORM_PLATFORM_ERROR_H_
+#ifndef BORAGEPADDLE_CONFIG_SERVICE_PLATFORM_ERROR_H_
+#define BORAGEPADDLE_CONFIG_SERVICE_PLATFORM_ERROR_H_
 
 #include <cstdint>
 
 #include "absl/strings/string_view.h"
 
-namespace boragepaddle::platform {
+namespace boragepaddle::config_service {
 
 /// Why the platform gave no usable answer.
 enum class PlatformErrorCode : uint8_t {
@@ -29,6 +29,6 @@
 /// Returns the name used in logs.
 absl::string_view ToString(PlatformErrorCode code);
 
-}  // namespace boragepaddle::platform
+}  // namespace boragepaddle::config_service
 
-#endif  // BORAGEPADDLE_PLATFORM_PLATFORM_ERROR_H_
+#endif  // BORAGEPADDLE_CONFIG_SERVICE_PLATFORM_ERROR_H_
