Hold back root requests at their entry for the services that they use

The gate beside lending refused nested calls, so 16,699 requests failed after their work above was done. Workers extend the id of the request that they run, so an entry knows the lineage of a call; answers tell what a request used of each service, gates tell what share to hold back, and entries refuse the least important roots first. Nested calls wait longer and go first.

--- a/src/boragepaddle/admission/worker_gate.cc
+++ b/src/boragepaddle/admission/worker_gate.cc
@@ -8,14 +8,21 @@
 
 namespace {
 
+/// Ranks of root requests begin here.
+constexpr uint32_t kRootRank = 1000;
+
 /// A nested call continues work that was begun, so it goes first.
 uint32_t RankOf(uint32_t priority, bool nested) {
-  return nested ? 0 : priority + 1;
+  const uint32_t bounded = std::min(priority, kRootRank - 1);
+  return nested ? bounded : kRootRank + bounded;
 }
 
 absl::Duration AllowedWait(const GateSettings& settings,
                            const GateCall& call,
                            absl::Time now) {
+  if (call.nested) {
+    return (call.give_up_at - now) * settings.nested_wait_share;
+  }
   const absl::Duration by_objective =
       call.objective == absl::InfiniteDuration()
           ? settings.max_wait
--- a/src/boragepaddle/admission/worker_gate.h
+++ b/src/boragepaddle/admission/worker_gate.h
@@ -20,7 +20,10 @@
   /// Share of the time to the objective that a call may wait. A refusal that
   /// comes later leaves its caller too little time to come back.
   double wait_share = 0.125;
-  /// Bounds on that wait.
+  /// The same for nested calls, as a share of the time that is left: their
+  /// refusal wastes the work that was done above them.
+  double nested_wait_share = 0.4;
+  /// Bounds on the wait of root requests.
   absl::Duration min_wait = absl::Milliseconds(15);
   absl::Duration max_wait = absl::Milliseconds(250);
   /// Weight of a new sample in the mean time of a call.
--- a/src/boragepaddle/platform/wire_names.cc
+++ b/src/boragepaddle/platform/wire_names.cc
@@ -4,6 +4,18 @@
 
 namespace boragepaddle::platform {
 
+namespace {
+
+/// Workers extend the id of the request that they run by a dot and a part of
+/// their own.
+absl::string_view ParentId(absl::string_view id) {
+  const size_t dot = id.rfind('.');
+  return dot == absl::string_view::npos ? absl::string_view()
+                                        : id.substr(0, dot);
+}
+
+}  // namespace
+
 proxy::HttpDialect MakeHttpDialect() {
   proxy::HttpDialect dialect;
   dialect.request_id = "Attempt-Id";
@@ -14,6 +26,7 @@
   dialect.origin_service = "Caller-Service";
   dialect.not_run = "Not-Executed";
   dialect.retry_after = "Retry-After";
+  dialect.parent_id = ParentId;
   dialect.ready_path = "/boragepaddle/ready";
   return dialect;
 }
--- a/src/boragepaddle/proxy/dialect.h
+++ b/src/boragepaddle/proxy/dialect.h
@@ -26,6 +26,9 @@
   std::string not_run;
   /// In a refusal: seconds until the client may come back.
   std::string retry_after;
+  /// Id of the request for which a worker made the request with this id;
+  /// empty for requests of clients.
+  std::function<absl::string_view(absl::string_view)> parent_id;
   /// Path of the readiness probe.
   std::string ready_path;
 };
--- a/src/boragepaddle/proxy/entry.cc
+++ b/src/boragepaddle/proxy/entry.cc
@@ -89,14 +89,47 @@
   const size_t target =
       routing::NextTarget(this->splits[route->name], route->targets);
   call.service = route->targets[target].service;
+  this->SetLineage(call);
   this->calls[call.id] = std::move(owned);
   retry::CountRequest(this->budgets[call.service], this->BudgetSettings(),
                       call.arrived);
   exchange->SetOnAbandoned(
       [this, call_id = call.id] { this->OnAbandoned(call_id); });
+  if (!call.nested && !this->AdmitRoot(call)) {
+    this->RefuseNotRun(call);
+    return;
+  }
   this->Attempt(call);
 }
 
+void Entry::SetLineage(EntryCall& call) {
+  const absl::string_view parent = this->dialect.parent_id(call.request_id);
+  const auto running =
+      parent.empty() ? absl::nullopt : this->local.FindRunning(parent);
+  if (!running) {
+    call.priority = call.route->priority;
+    call.wants_use = routing::WantsUse(this->root_gate, call.route->name);
+    return;
+  }
+  call.nested = true;
+  call.parent_id = std::string(parent);
+  call.priority = running->priority;
+  call.parent_repeat = running->repeat;
+  call.wants_use = running->wants_use;
+  call.give_up_at = std::min(call.give_up_at, running->give_up_at);
+}
+
+bool Entry::AdmitRoot(EntryCall& call) {
+  std::string full;
+  if (routing::AdmitRoot(this->root_gate, call.route->name, call.service,
+                         call.priority, call.arrived, &full)) {
+    return true;
+  }
+  call.last_reason = Reason::kRefusedBelow;
+  call.instance = full;
+  return false;
+}
+
 void Entry::AnswerEarly(const std::shared_ptr<event::HttpExchange>& exchange,
                         uint32_t status,
                         absl::string_view why) {
@@ -194,9 +227,11 @@
   message.service = worker.service;
   message.instance = worker.instance;
   message.origin_service = this->settings.service;
-  message.priority = call.route->priority;
+  message.priority = call.priority;
+  message.nested = call.nested;
+  message.wants_use = call.wants_use;
   message.repeatable = call.route->repeatable;
-  message.repeat = call.offers > 0;
+  message.repeat = call.offers > 0 || call.parent_repeat;
   message.time_left_us = absl::ToInt64Microseconds(call.give_up_at - now);
   message.objective_us =
       absl::ToInt64Microseconds(call.route->objective - (now - call.arrived));
@@ -243,6 +278,7 @@
   call.offers += answer.offered ? 1 : 0;
   switch (answer.outcome) {
     case Outcome::kCompleted:
+      this->LearnUse(call, answer);
       this->Deliver(call, answer);
       return;
     case Outcome::kNotRun:
@@ -259,6 +295,17 @@
   }
 }
 
+void Entry::LearnUse(const EntryCall& call, const schema::HttpAnswer& answer) {
+  if (answer.use.empty()) {
+    return;
+  }
+  if (call.nested) {
+    this->local.AddUse(call.parent_id, answer.use);
+    return;
+  }
+  routing::OnUse(this->root_gate, call.route->name, answer.use);
+}
+
 void Entry::OnNotRun(EntryCall& call, const schema::HttpAnswer& answer) {
   const absl::Time now = event::BootNow();
   call.retry_after =
@@ -351,6 +398,7 @@
 void Entry::OnLoadNotice(absl::string_view host,
                          const schema::LoadNotice& notice) {
   const absl::Time now = event::BootNow();
+  routing::OnHeldBack(this->root_gate, notice.service, host, notice.load, now);
   for (const auto& [instance, entry] : this->store.workers.entries) {
     if (entry.host == host && entry.service == notice.service) {
       routing::OnLoadNotice(this->loads, instance, notice, now);
@@ -457,7 +505,8 @@
         .Add("reason", schema::ToString(call.last_reason))
         .Add("route", call.route->name)
         .Add("service", call.service)
-        .Add("priority", call.route->priority)
+        .Add("priority", call.priority)
+        .Add("nested", call.nested)
         .Add("config", call.routes->version)
         .Add("instance", call.instance)
         .Add("tried", call.tried.size())
--- a/src/boragepaddle/proxy/entry.h
+++ b/src/boragepaddle/proxy/entry.h
@@ -17,6 +17,7 @@
 #include "boragepaddle/proxy/store_state.h"
 #include "boragepaddle/proxy/worker_side.h"
 #include "boragepaddle/retry/repeat_budget.h"
+#include "boragepaddle/routing/root_gate.h"
 #include "boragepaddle/routing/target_split.h"
 #include "boragepaddle/routing/worker_choice.h"
 #include "boragepaddle/telemetry/event_log.h"
@@ -64,12 +65,15 @@
   size_t in_flight() const { return this->calls.size(); }
 
  private:
+  void SetLineage(EntryCall& call);
+  bool AdmitRoot(EntryCall& call);
   void Attempt(EntryCall& call);
   void SendTo(EntryCall& call, const catalog::WorkerEntry& worker);
   schema::HttpCall MakeMessage(const EntryCall& call,
                                const catalog::WorkerEntry& worker,
                                absl::Time now) const;
   void OnAttemptEnd(EntryCall& call, schema::HttpAnswer& answer);
+  void LearnUse(const EntryCall& call, const schema::HttpAnswer& answer);
   void OnNotRun(EntryCall& call, const schema::HttpAnswer& answer);
   void OnAttemptLost(EntryCall& call, bool sent);
   bool MayRepeat(const EntryCall& call);
@@ -104,6 +108,7 @@
   absl::flat_hash_map<std::string, routing::TargetSplit> splits;
   absl::flat_hash_map<std::string, retry::RepeatBudget> budgets;
   routing::LoadTable loads;
+  routing::RootGate root_gate;
 };
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/entry_call.h
+++ b/src/boragepaddle/proxy/entry_call.h
@@ -23,6 +23,14 @@
   const catalog::Route* route = nullptr;
   std::string service;
   std::string request_id;
+  /// Request of the local worker that made this one; empty for a root.
+  std::string parent_id;
+  bool nested = false;
+  /// Of the root request.
+  uint32_t priority = 0;
+  /// The parent's run is itself a repeat.
+  bool parent_repeat = false;
+  bool wants_use = false;
   absl::Time arrived;
   /// When the client, or the route's timeout, ends the wait.
   absl::Time give_up_at;
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -26,6 +26,12 @@
 /// A gap between ticks that is taken for a pause of the process or the VM.
 constexpr absl::Duration kPauseGap = absl::Milliseconds(700);
 
+/// Change of the held-back share, in thousandths, that is told at once, and
+/// the shortest and longest time between two notices.
+constexpr uint32_t kPressureStep = 20;
+constexpr absl::Duration kPressureMinAge = absl::Milliseconds(100);
+constexpr absl::Duration kPressureMaxAge = absl::Milliseconds(400);
+
 /// Time after SIGTERM in which clients may still send, since they learn of it
 /// from two readiness probes a second apart.
 constexpr absl::Duration kKeepAccepting = absl::Milliseconds(2600);
@@ -330,6 +336,7 @@
   }
   this->entry.Tick(now);
   this->worker_side.Tick(now);
+  this->TellPressure(now);
   if (now - this->last_slow_tick >= kSlowTick) {
     this->last_slow_tick = now;
     this->callers.Tick(now);
@@ -350,6 +357,36 @@
   this->TickStopping(now);
 }
 
+// Every entry holds back root requests for services that it never calls
+// itself, so all nodes are told.
+void ProxyNode::TellPressure(absl::Time now) {
+  const schema::LoadNotice notice = this->worker_side.Notice();
+  const uint32_t pressure = notice.load.pressure;
+  const uint32_t change = pressure > this->told_pressure
+                              ? pressure - this->told_pressure
+                              : this->told_pressure - pressure;
+  const absl::Duration age = now - this->told_at;
+  const bool due = (change >= kPressureStep && age >= kPressureMinAge) ||
+                   (pressure > 0 && age >= kPressureMaxAge) ||
+                   (pressure == 0 && this->told_pressure > 0);
+  if (!due) {
+    return;
+  }
+  this->told_pressure = pressure;
+  this->told_at = now;
+  this->entry.OnLoadNotice(this->settings.host, notice);
+  for (const auto& [instance, worker] : this->store.workers.entries) {
+    if (worker.host == this->settings.host) {
+      continue;
+    }
+    const PeerChannelPtr channel =
+        this->peers.ChannelTo(worker.host, this->settings.peer_port);
+    if (channel != nullptr) {
+      channel->Send(notice);
+    }
+  }
+}
+
 void ProxyNode::OnPause(absl::Time now, absl::Duration gap) {
   this->log.State(
       LogLine("node", "paused").Add("ms", absl::ToInt64Milliseconds(gap)));
--- a/src/boragepaddle/proxy/worker_side.cc
+++ b/src/boragepaddle/proxy/worker_side.cc
@@ -17,6 +17,9 @@
 /// Slots of a worker whose entry is not known here.
 constexpr uint32_t kUnlistedSlots = 16;
 
+/// Statuses from here on are failures of the worker.
+constexpr uint32_t kFirstFailureStatus = 500;
+
 /// A call with less time left is not given to the worker.
 constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(5);
 
@@ -145,6 +148,8 @@
     return;
   }
   call.started = true;
+  call.started_at = now;
+  this->running[call.message.request_id] = id;
   this->pool.Send(id, this->MakeRequest(call, now),
                   [this, id](event::WorkerResult result) {
                     this->OnResult(id, std::move(result));
@@ -185,9 +190,61 @@
   answer.status = result.status;
   answer.fields = std::move(result.fields);
   answer.body = std::move(result.body);
+  this->AddOwnUse(id, answer, now);
   this->Finish(id, std::move(answer));
 }
 
+void WorkerSide::AddOwnUse(uint64_t id,
+                           schema::HttpAnswer& answer,
+                           absl::Time now) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end() || !found->second.message.wants_use ||
+      answer.outcome != Outcome::kCompleted ||
+      answer.status >= kFirstFailureStatus) {
+    return;
+  }
+  Call& call = found->second;
+  answer.use = std::move(call.nested_use);
+  answer.use.push_back({call.message.service,
+                        static_cast<uint64_t>(
+                            absl::ToInt64Microseconds(now - call.started_at))});
+}
+
+absl::optional<ParentCall> WorkerSide::FindRunning(
+    absl::string_view request_id) const {
+  const auto found = this->running.find(request_id);
+  if (found == this->running.end()) {
+    return absl::nullopt;
+  }
+  const Call& call = this->calls.at(found->second);
+  ParentCall parent;
+  parent.priority = call.message.priority;
+  parent.repeat = call.message.repeat;
+  parent.wants_use = call.message.wants_use;
+  parent.give_up_at = call.give_up_at;
+  return parent;
+}
+
+void WorkerSide::AddUse(absl::string_view request_id,
+                        absl::Span<const schema::ServiceUse> use) {
+  const auto found = this->running.find(request_id);
+  if (found == this->running.end()) {
+    return;
+  }
+  std::vector<schema::ServiceUse>& sum =
+      this->calls.at(found->second).nested_use;
+  for (const schema::ServiceUse& part : use) {
+    const auto same = std::find_if(sum.begin(), sum.end(), [&](auto& other) {
+      return other.service == part.service;
+    });
+    if (same == sum.end()) {
+      sum.push_back(part);
+    } else {
+      same->slot_us += part.slot_us;
+    }
+  }
+}
+
 void WorkerSide::Refuse(uint64_t id, Reason reason) {
   schema::HttpAnswer answer;
   answer.outcome = Outcome::kNotRun;
@@ -209,6 +266,10 @@
   }
   Call call = std::move(found->second);
   this->calls.erase(found);
+  const auto run = this->running.find(call.message.request_id);
+  if (run != this->running.end() && run->second == id) {
+    this->running.erase(run);
+  }
   answer.call_id = call.message.call_id;
   answer.load = this->Load();
   this->LogEnd(call, answer);
@@ -218,8 +279,8 @@
 }
 
 void WorkerSide::LogEnd(const Call& call, const schema::HttpAnswer& answer) {
-  const bool served =
-      answer.outcome == Outcome::kCompleted && answer.status < 500;
+  const bool served = answer.outcome == Outcome::kCompleted &&
+                      answer.status < kFirstFailureStatus;
   const absl::Time now = event::BootNow();
   if (served && !this->log.WantsServed(now)) {
     return;
@@ -269,6 +330,10 @@
 
 void WorkerSide::Tick(absl::Time now) {
   this->Perform(admission::OnGateTick(this->gate, now), now);
+  admission::UpdatePressure(this->pressure, this->gate.recent_arrivals,
+                            this->gate.mean_time,
+                            admission::GateLimit(this->gate), now);
+  this->gate.recent_arrivals = 0;
 }
 
 schema::GateLoad WorkerSide::Load() const {
@@ -276,6 +341,7 @@
   load.running = static_cast<uint32_t>(this->gate.running.size());
   load.queued = static_cast<uint32_t>(this->gate.queue.size());
   load.limit = admission::GateLimit(this->gate);
+  load.pressure = admission::HeldBack(this->pressure);
   return load;
 }
 
--- a/src/boragepaddle/proxy/worker_side.h
+++ b/src/boragepaddle/proxy/worker_side.h
@@ -5,9 +5,14 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "absl/types/span.h"
+#include "boragepaddle/admission/pressure.h"
 #include "boragepaddle/admission/worker_gate.h"
 #include "boragepaddle/event/worker_pool.h"
 #include "boragepaddle/proxy/dialect.h"
@@ -18,6 +23,14 @@
 
 namespace boragepaddle::proxy {
 
+/// What a running request hands on to the calls that it makes.
+struct ParentCall {
+  uint32_t priority = 0;
+  bool repeat = false;
+  bool wants_use = false;
+  absl::Time give_up_at;
+};
+
 /// The side of a node that stands in front of its worker: admits calls of all
 /// nodes, gives them to the worker and answers them.
 class WorkerSide {
@@ -49,6 +62,13 @@
   /// Takes no new calls.
   void StartLeaving() { this->leaving = true; }
 
+  /// The request if it runs at the worker.
+  absl::optional<ParentCall> FindRunning(absl::string_view request_id) const;
+
+  /// A call that a running request made told what it used.
+  void AddUse(absl::string_view request_id,
+              absl::Span<const schema::ServiceUse> use);
+
   schema::LoadNotice Notice() const;
   size_t in_flight() const { return this->calls.size(); }
 
@@ -57,7 +77,10 @@
     schema::HttpCall message;
     Reply reply;
     absl::Time arrived;
+    absl::Time started_at;
     absl::Time give_up_at;
+    /// Of the calls that the request made.
+    std::vector<schema::ServiceUse> nested_use;
     bool started = false;
     bool cancelled = false;
   };
@@ -67,6 +90,7 @@
   void Perform(const admission::GateActions& actions, absl::Time now);
   void StartCall(uint64_t id, absl::Time now);
   void OnResult(uint64_t id, event::WorkerResult result);
+  void AddOwnUse(uint64_t id, schema::HttpAnswer& answer, absl::Time now);
   void Refuse(uint64_t id, schema::Reason reason);
   void Finish(uint64_t id, schema::HttpAnswer answer);
   event::WorkerRequest MakeRequest(Call& call, absl::Time now) const;
@@ -79,7 +103,10 @@
   event::WorkerPool& pool;
   telemetry::EventLog& log;
   admission::WorkerGate gate;
+  admission::Pressure pressure;
   absl::flat_hash_map<uint64_t, Call> calls;
+  /// Started calls by request id.
+  absl::flat_hash_map<std::string, uint64_t> running;
   uint64_t next_id = 1;
   bool leaving = false;
 };
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -184,6 +184,14 @@
   return !(a == b);
 }
 
+bool operator==(const ServiceUse& a, const ServiceUse& b) {
+  return a.service == b.service && a.slot_us == b.slot_us;
+}
+
+bool operator!=(const ServiceUse& a, const ServiceUse& b) {
+  return !(a == b);
+}
+
 bool operator==(const Hello& a, const Hello& b) {
   return a.fleet == b.fleet && a.vm_id == b.vm_id &&
          a.incarnation == b.incarnation && a.member == b.member &&
@@ -345,7 +353,8 @@
          a.repeatable == b.repeatable && a.repeat == b.repeat &&
          a.nested == b.nested && a.time_left_us == b.time_left_us &&
          a.objective_us == b.objective_us && a.method == b.method &&
-         a.target == b.target && a.fields == b.fields && a.body == b.body;
+         a.target == b.target && a.fields == b.fields && a.body == b.body &&
+         a.wants_use == b.wants_use;
 }
 
 bool operator!=(const HttpCall& a, const HttpCall& b) {
@@ -356,7 +365,8 @@
   return a.call_id == b.call_id && a.outcome == b.outcome &&
          a.reason == b.reason && a.offered == b.offered &&
          a.retry_after_us == b.retry_after_us && a.status == b.status &&
-         a.fields == b.fields && a.body == b.body && a.load == b.load;
+         a.fields == b.fields && a.body == b.body && a.load == b.load &&
+         a.use == b.use;
 }
 
 bool operator!=(const HttpAnswer& a, const HttpAnswer& b) {
@@ -524,6 +534,19 @@
   return reader.ok();
 }
 
+void Pack(Packer& packer, const ServiceUse& value) {
+  packer.pack_array(2);
+  Pack(packer, value.service);
+  Pack(packer, value.slot_us);
+}
+
+bool Unpack(const msgpack::object& object, ServiceUse* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->service);
+  reader.Next(&value->slot_us);
+  return reader.ok();
+}
+
 void Pack(Packer& packer, const Hello& value) {
   packer.pack_array(10);
   Pack(packer, value.fleet);
@@ -829,7 +852,7 @@
 }
 
 void Pack(Packer& packer, const HttpCall& value) {
-  packer.pack_array(15);
+  packer.pack_array(16);
   Pack(packer, value.call_id);
   Pack(packer, value.request_id);
   Pack(packer, value.service);
@@ -845,6 +868,7 @@
   Pack(packer, value.target);
   Pack(packer, value.fields);
   Pack(packer, value.body);
+  Pack(packer, value.wants_use);
 }
 
 bool Unpack(const msgpack::object& object, HttpCall* value) {
@@ -864,11 +888,12 @@
   reader.Next(&value->target);
   reader.Next(&value->fields);
   reader.Next(&value->body);
+  reader.Next(&value->wants_use);
   return reader.ok();
 }
 
 void Pack(Packer& packer, const HttpAnswer& value) {
-  packer.pack_array(9);
+  packer.pack_array(10);
   Pack(packer, value.call_id);
   Pack(packer, value.outcome);
   Pack(packer, value.reason);
@@ -878,6 +903,7 @@
   Pack(packer, value.fields);
   Pack(packer, value.body);
   Pack(packer, value.load);
+  Pack(packer, value.use);
 }
 
 bool Unpack(const msgpack::object& object, HttpAnswer* value) {
@@ -891,6 +917,7 @@
   reader.Next(&value->fields);
   reader.Next(&value->body);
   reader.Next(&value->load);
+  reader.Next(&value->use);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -169,14 +169,23 @@
   uint32_t queued = 0;
   /// Calls that may run at once; 0 if the worker takes none.
   uint32_t limit = 0;
-  /// Share of root requests to hold back, in thousandths of a priority; 0
-  /// admits all.
+  /// Share of the root requests' work to hold back, in thousandths.
   uint32_t pressure = 0;
 };
 /// Compares all fields.
 bool operator==(const GateLoad& a, const GateLoad& b);
 bool operator!=(const GateLoad& a, const GateLoad& b);
 
+/// What one request used of a service, its nested calls included.
+struct ServiceUse {
+  std::string service;
+  /// Time for which a slot of a worker was held, in microseconds.
+  uint64_t slot_us = 0;
+};
+/// Compares all fields.
+bool operator==(const ServiceUse& a, const ServiceUse& b);
+bool operator!=(const ServiceUse& a, const ServiceUse& b);
+
 /// First frame in each direction of a connection.
 struct Hello {
   std::string fleet;
@@ -426,6 +435,8 @@
   std::string target;
   std::vector<HttpField> fields;
   std::string body;
+  /// The answer is to tell what the request used.
+  bool wants_use = false;
 };
 /// Compares all fields.
 bool operator==(const HttpCall& a, const HttpCall& b);
@@ -445,6 +456,7 @@
   std::vector<HttpField> fields;
   std::string body;
   GateLoad load;
+  std::vector<ServiceUse> use;
 };
 /// Compares all fields.
 bool operator==(const HttpAnswer& a, const HttpAnswer& b);
