--- a/src/boragepaddle/admission/worker_gate.cc
+++ b/src/boragepaddle/admission/worker_gate.cc
@@ -100,14 +100,12 @@
                           const GateCall& call,
                           absl::Time now) {
   GateActions out;
-  ++gate.recent_arrivals;
   if (gate.running.size() < GateLimit(gate)) {
     Start(gate, call.id, now, out);
     return out;
   }
   const absl::Duration allowed = AllowedWait(gate.settings, call, now);
   if (ExpectedWait(gate, call.priority, call.nested) > allowed) {
-    ++gate.recent_refusals;
     out.refuse.push_back(call.id);
     return out;
   }
@@ -123,7 +121,6 @@
       (static_cast<double>(gate.queue.size()) / GateLimit(gate));
   if (last->second.call.id != call.id &&
       now + last_wait > last->second.refuse_at + allowed) {
-    ++gate.recent_refusals;
     out.refuse.push_back(DisplaceLast(gate));
   }
   return out;
@@ -164,7 +161,6 @@
       ++entry;
       continue;
     }
-    ++gate.recent_refusals;
     out.refuse.push_back(entry->second.call.id);
     gate.queued_keys.erase(entry->second.call.id);
     entry = gate.queue.erase(entry);
--- a/src/boragepaddle/admission/worker_gate.h
+++ b/src/boragepaddle/admission/worker_gate.h
@@ -74,9 +74,6 @@
   absl::flat_hash_map<uint64_t, absl::Time> running;
   absl::Duration mean_time;
   uint64_t next_sequence = 0;
-  /// Calls refused for lack of room since the last pressure update.
-  uint32_t recent_refusals = 0;
-  uint32_t recent_arrivals = 0;
 };
 
 WorkerGate MakeWorkerGate(const GateSettings& settings);
--- a/src/boragepaddle/proxy/entry.cc
+++ b/src/boragepaddle/proxy/entry.cc
@@ -120,9 +120,10 @@
 }
 
 bool Entry::AdmitRoot(EntryCall& call) {
-  std::string full;
-  if (routing::AdmitRoot(this->root_gate, call.route->name, call.service,
-                         call.priority, call.arrived, &full)) {
+  const std::string full = routing::AdmitRoot(
+      this->root_gate, this->store.workers,
+      {call.route->name, call.service, call.priority, call.arrived});
+  if (full.empty()) {
     return true;
   }
   call.last_reason = Reason::kRefusedBelow;
@@ -398,7 +399,7 @@
 void Entry::OnLoadNotice(absl::string_view host,
                          const schema::LoadNotice& notice) {
   const absl::Time now = event::BootNow();
-  routing::OnHeldBack(this->root_gate, notice.service, host, notice.load, now);
+  routing::OnGrant(this->root_gate, notice.service, host, notice.load, now);
   for (const auto& [instance, entry] : this->store.workers.entries) {
     if (entry.host == host && entry.service == notice.service) {
       routing::OnLoadNotice(this->loads, instance, notice, now);
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -26,11 +26,11 @@
 /// A gap between ticks that is taken for a pause of the process or the VM.
 constexpr absl::Duration kPauseGap = absl::Milliseconds(700);
 
-/// Change of the held-back share, in thousandths, that is told at once, and
-/// the shortest and longest time between two notices.
-constexpr uint32_t kPressureStep = 20;
-constexpr absl::Duration kPressureMinAge = absl::Milliseconds(100);
-constexpr absl::Duration kPressureMaxAge = absl::Milliseconds(400);
+/// Change of the grant, in thousandths, that is told at once, and the shortest
+/// and longest time between two notices.
+constexpr uint32_t kGrantStep = 30;
+constexpr absl::Duration kGrantMinAge = absl::Milliseconds(100);
+constexpr absl::Duration kGrantMaxAge = absl::Milliseconds(400);
 
 /// Time after SIGTERM in which clients may still send, since they learn of it
 /// from two readiness probes a second apart.
@@ -336,7 +336,7 @@
   }
   this->entry.Tick(now);
   this->worker_side.Tick(now);
-  this->TellPressure(now);
+  this->TellGrant(now);
   if (now - this->last_slow_tick >= kSlowTick) {
     this->last_slow_tick = now;
     this->callers.Tick(now);
@@ -359,21 +359,20 @@
 
 // Every entry holds back root requests for services that it never calls
 // itself, so all nodes are told.
-void ProxyNode::TellPressure(absl::Time now) {
+void ProxyNode::TellGrant(absl::Time now) {
   const schema::LoadNotice notice = this->worker_side.Notice();
-  const uint32_t pressure = notice.load.pressure;
-  const uint32_t change = pressure > this->told_pressure
-                              ? pressure - this->told_pressure
-                              : this->told_pressure - pressure;
+  const uint32_t grant = notice.load.grant;
+  const uint32_t change = grant > this->told_grant ? grant - this->told_grant
+                                                   : this->told_grant - grant;
   const absl::Duration age = now - this->told_at;
-  const bool due = (change >= kPressureStep && age >= kPressureMinAge) ||
-                   (pressure > 0 && age >= kPressureMaxAge) ||
-                   (pressure == 0 && this->told_pressure > 0);
+  const bool due = (change >= kGrantStep && age >= kGrantMinAge) ||
+                   (this->worker_side.IsLoaded() && age >= kGrantMaxAge);
   if (!due) {
     return;
   }
-  this->told_pressure = pressure;
+  this->told_grant = grant;
   this->told_at = now;
+  this->worker_side.LogLoad();
   this->entry.OnLoadNotice(this->settings.host, notice);
   for (const auto& [instance, worker] : this->store.workers.entries) {
     if (worker.host == this->settings.host) {
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -71,7 +71,7 @@
   bool IsReady() const;
   void ScheduleTick();
   void Tick();
-  void TellPressure(absl::Time now);
+  void TellGrant(absl::Time now);
   void OnPause(absl::Time now, absl::Duration gap);
   void TickStopping(absl::Time now);
 
@@ -96,7 +96,7 @@
   absl::Time last_slow_tick;
   absl::Time last_reload;
   absl::Time stopping_since = absl::InfiniteFuture();
-  uint32_t told_pressure = 0;
+  uint32_t told_grant = 0;
   absl::Time told_at = absl::InfinitePast();
   bool listener_closed = false;
   bool was_ready = false;
--- a/src/boragepaddle/proxy/worker_side.cc
+++ b/src/boragepaddle/proxy/worker_side.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "boragepaddle/event/clock.h"
 
 namespace boragepaddle::proxy {
@@ -118,6 +119,7 @@
     this->Refuse(id, refusal);
     return id;
   }
+  this->grant_input.arrivals += call.message.repeat ? 0 : 1;
   admission::GateCall asked;
   asked.id = id;
   asked.priority = call.message.priority;
@@ -183,6 +185,8 @@
   const absl::Time now = event::BootNow();
   const bool completed = result.end == event::WorkerEnd::kAnswered;
   this->Perform(admission::OnGateFinished(this->gate, id, completed, now), now);
+  this->grant_input.offered += result.end != event::WorkerEnd::kNotSent;
+  this->grant_input.rejected += result.end == event::WorkerEnd::kNotRun;
   schema::HttpAnswer answer;
   answer.outcome = OutcomeOf(result.end);
   answer.reason = ReasonOf(result.end);
@@ -330,10 +334,11 @@
 
 void WorkerSide::Tick(absl::Time now) {
   this->Perform(admission::OnGateTick(this->gate, now), now);
-  admission::UpdatePressure(this->pressure, this->gate.recent_arrivals,
-                            this->gate.mean_time,
-                            admission::GateLimit(this->gate), now);
-  this->gate.recent_arrivals = 0;
+  this->grant_input.queued = static_cast<uint32_t>(this->gate.queue.size());
+  this->grant_input.limit = admission::GateLimit(this->gate);
+  this->grant_input.mean_time = this->gate.mean_time;
+  admission::UpdateGrant(this->grant, this->grant_input, now);
+  this->grant_input = admission::GrantInput();
 }
 
 schema::GateLoad WorkerSide::Load() const {
@@ -341,10 +346,23 @@
   load.running = static_cast<uint32_t>(this->gate.running.size());
   load.queued = static_cast<uint32_t>(this->gate.queue.size());
   load.limit = admission::GateLimit(this->gate);
-  load.pressure = admission::HeldBack(this->pressure);
+  load.grant = admission::GrantThousandths(this->grant);
   return load;
 }
 
+void WorkerSide::LogLoad() {
+  const schema::GateLoad load = this->Load();
+  this->log.State(
+      telemetry::LogLine("worker", "grant")
+          .Add("grant", load.grant)
+          .Add("load", absl::StrFormat("%.2f", this->grant.load))
+          .Add("rejected", absl::StrFormat("%.2f", this->grant.rejected_share))
+          .Add("running", load.running)
+          .Add("queued", load.queued)
+          .Add("limit", load.limit)
+          .Add("mean_ms", absl::ToInt64Milliseconds(this->gate.mean_time)));
+}
+
 schema::LoadNotice WorkerSide::Notice() const {
   schema::LoadNotice notice;
   notice.service = this->settings.service;
--- a/src/boragepaddle/proxy/worker_side.h
+++ b/src/boragepaddle/proxy/worker_side.h
@@ -12,7 +12,7 @@
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "absl/types/span.h"
-#include "boragepaddle/admission/pressure.h"
+#include "boragepaddle/admission/grant.h"
 #include "boragepaddle/admission/worker_gate.h"
 #include "boragepaddle/event/worker_pool.h"
 #include "boragepaddle/proxy/dialect.h"
@@ -70,6 +70,11 @@
               absl::Span<const schema::ServiceUse> use);
 
   schema::LoadNotice Notice() const;
+  void LogLoad();
+  /// The worker is near its limit, so that its grant matters.
+  bool IsLoaded() const {
+    return this->grant.load >= this->grant.settings.idle;
+  }
   size_t in_flight() const { return this->calls.size(); }
 
  private:
@@ -103,7 +108,8 @@
   event::WorkerPool& pool;
   telemetry::EventLog& log;
   admission::WorkerGate gate;
-  admission::Pressure pressure;
+  admission::Grant grant;
+  admission::GrantInput grant_input;
   absl::flat_hash_map<uint64_t, Call> calls;
   /// Started calls by request id.
   absl::flat_hash_map<std::string, uint64_t> running;
--- a/src/boragepaddle/routing/root_gate.cc
+++ b/src/boragepaddle/routing/root_gate.cc
@@ -1,76 +1,146 @@
 #include "boragepaddle/routing/root_gate.h"
 
 #include <algorithm>
-#include <cmath>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+#include "absl/container/btree_set.h"
 
 namespace boragepaddle::routing {
 
 namespace {
 
 constexpr double kThousand = 1000;
+constexpr double kMicrosecondsPerSecond = 1e6;
 
-/// Assumed slot time of a route before the first sample, in seconds.
+/// Slot time of a route before the first sample, in seconds.
 constexpr double kUnknownUse = 0.05;
 
-void Decay(ServiceDemand& demand,
-           const RootGateSettings& settings,
-           absl::Time now) {
-  if (demand.updated != absl::InfinitePast()) {
-    const double factor = std::exp(
-        -absl::FDivDuration(now - demand.updated, settings.demand_memory));
-    for (auto& [priority, amount] : demand.by_priority) {
-      amount *= factor;
+/// A service of which no worker is listed is left to the choice of a worker.
+constexpr double kNoLimit = 1e9;
+
+struct Use {
+  std::string service;
+  double seconds = 0;
+};
+
+std::vector<Use> UseOf(const RouteUse& route, absl::string_view target) {
+  std::vector<Use> use;
+  for (const auto& [service, seconds] : route.slot_seconds) {
+    use.push_back({service, seconds});
+  }
+  if (!route.slot_seconds.contains(target)) {
+    use.push_back({std::string(target), kUnknownUse});
+  }
+  return use;
+}
+
+void CountEntries(RootGate& gate, const catalog::WorkerDirectory& directory) {
+  if (gate.entries_generation == directory.generation) {
+    return;
+  }
+  gate.entries_generation = directory.generation;
+  absl::btree_set<absl::string_view> hosts;
+  for (const auto& [instance, entry] : directory.entries) {
+    hosts.insert(entry.host);
+  }
+  gate.entries = std::max<double>(1, static_cast<double>(hosts.size()));
+}
+
+void CountSlots(ServiceAllowance& service,
+                absl::string_view name,
+                const catalog::WorkerDirectory& directory) {
+  if (service.generation == directory.generation) {
+    return;
+  }
+  service.generation = directory.generation;
+  service.slots = 0;
+  for (const auto& [instance, entry] : directory.entries) {
+    if (entry.service == name && !entry.draining) {
+      service.slots += entry.slots;
     }
   }
-  demand.updated = now;
 }
 
-/// Admitted share of a priority if `held_back` of the demand is refused, the
-/// least important first.
-double AdmittedShare(const ServiceDemand& demand,
-                     const RootGateSettings& settings,
-                     uint32_t priority,
-                     double held_back) {
-  double total = 0;
-  for (const auto& [other, amount] : demand.by_priority) {
-    total += amount;
-  }
-  double to_refuse = held_back * total;
-  const double least = settings.least_part * (1 - held_back);
-  for (auto other = demand.by_priority.rbegin();
-       other != demand.by_priority.rend(); ++other) {
-    const double amount = other->second;
-    const double refusable = amount * (1 - least);
-    const double refused = std::min(refusable, to_refuse);
-    if (other->first == priority) {
-      return amount <= 0 ? 1 - held_back : 1 - refused / amount;
+/// Mean factor of the workers, those without a fresh report at the default.
+double GrantOf(const RootGateSettings& settings,
+               const ServiceAllowance& service,
+               absl::Time now) {
+  double factor = 0;
+  double weight = 0;
+  for (const auto& [host, report] : service.reports) {
+    if (now - report.at < settings.report_life) {
+      factor += report.factor * report.weight;
+      weight += report.weight;
     }
-    to_refuse -= refused;
   }
-  return 1 - held_back;
+  const double unreported = std::max(0.0, service.slots - weight);
+  const double total = weight + unreported;
+  return total > 0 ? (factor + unreported * settings.default_grant) / total
+                   : settings.default_grant;
 }
 
-/// Use of the route: what was learned, and the service that it goes to.
-std::vector<std::pair<std::string, double>> UseOf(const RouteUse& route,
-                                                  absl::string_view target) {
-  std::vector<std::pair<std::string, double>> use(route.slot_seconds.begin(),
-                                                  route.slot_seconds.end());
-  if (!route.slot_seconds.contains(target)) {
-    use.emplace_back(std::string(target), kUnknownUse);
+void Fill(Allowance& allowance, double rate, double most, absl::Time now) {
+  if (allowance.filled == absl::InfinitePast()) {
+    allowance.level = most;
+  } else {
+    const double seconds = absl::ToDoubleSeconds(now - allowance.filled);
+    allowance.level = std::min(most, allowance.level + rate * seconds);
   }
-  return use;
+  allowance.filled = now;
+}
+
+/// Level that a request of the priority must leave.
+double FloorOf(const RootGateSettings& settings,
+               const ServiceAllowance& service,
+               uint32_t priority,
+               double most) {
+  const auto rank =
+      std::distance(service.minimum.begin(), service.minimum.find(priority));
+  if (rank == 0) {
+    return -most;
+  }
+  return std::min(0.75, settings.reserve * static_cast<double>(rank)) * most;
+}
+
+/// One service that a request uses, with its allowances filled.
+struct Demand {
+  ServiceAllowance* service = nullptr;
+  double seconds = 0;
+  double most = 0;
+};
+
+bool HasRoom(const RootGateSettings& settings,
+             const Demand& demand,
+             uint32_t priority) {
+  const Allowance& own = demand.service->minimum.at(priority);
+  if (own.level >= demand.seconds) {
+    return true;
+  }
+  return demand.service->all.level - demand.seconds >=
+         FloorOf(settings, *demand.service, priority, demand.most);
+}
+
+void Take(const Demand& demand, uint32_t priority) {
+  Allowance& own = demand.service->minimum.at(priority);
+  if (own.level >= demand.seconds) {
+    own.level -= demand.seconds;
+  }
+  demand.service->all.level =
+      std::max(demand.service->all.level - demand.seconds, -2 * demand.most);
 }
 
 }  // namespace
 
-void OnHeldBack(RootGate& gate,
-                absl::string_view service,
-                absl::string_view host,
-                const schema::GateLoad& load,
-                absl::Time now) {
-  HeldBackReport& report =
-      gate.reports[std::string(service)][std::string(host)];
-  report.share = load.pressure / kThousand;
+void OnGrant(RootGate& gate,
+             absl::string_view service,
+             absl::string_view host,
+             const schema::GateLoad& load,
+             absl::Time now) {
+  GrantReport& report =
+      gate.services[std::string(service)].reports[std::string(host)];
+  report.factor = load.grant / kThousand;
   report.weight = std::max<uint32_t>(load.limit, 1);
   report.at = now;
 }
@@ -87,7 +157,7 @@
   }
   for (const schema::ServiceUse& part : use) {
     known.slot_seconds[part.service] +=
-        weight * static_cast<double>(part.slot_us) / 1e6;
+        weight * static_cast<double>(part.slot_us) / kMicrosecondsPerSecond;
   }
 }
 
@@ -98,57 +168,38 @@
          found->second.requests % gate.settings.sample_every == 0;
 }
 
-double ServiceHeldBack(const RootGate& gate,
-                       absl::string_view service,
-                       absl::Time now) {
-  const auto found = gate.reports.find(service);
-  if (found == gate.reports.end()) {
-    return 0;
-  }
-  double share = 0;
-  double weight = 0;
-  for (const auto& [host, report] : found->second) {
-    if (now - report.at < gate.settings.report_life) {
-      share += report.share * report.weight;
-      weight += report.weight;
-    }
-  }
-  return weight > 0 ? share / weight : 0;
-}
-
-bool AdmitRoot(RootGate& gate,
-               absl::string_view route,
-               absl::string_view target,
-               uint32_t priority,
-               absl::Time now,
-               std::string* service) {
-  RouteUse& known = gate.routes[std::string(route)];
+std::string AdmitRoot(RootGate& gate,
+                      const catalog::WorkerDirectory& directory,
+                      const RootQuery& query) {
+  const RootGateSettings& settings = gate.settings;
+  CountEntries(gate, directory);
+  RouteUse& known = gate.routes[std::string(query.route)];
   ++known.requests;
-  double admitted = 1;
-  for (const auto& [used, seconds] : UseOf(known, target)) {
-    ServiceDemand& demand = gate.demand[used];
-    Decay(demand, gate.settings, now);
-    demand.by_priority[priority] += seconds;
-    const double held_back = ServiceHeldBack(gate, used, now);
-    if (held_back <= 0) {
-      continue;
-    }
-    const double share =
-        AdmittedShare(demand, gate.settings, priority, held_back);
-    if (share < admitted) {
-      admitted = share;
-      *service = used;
+  std::vector<Demand> demands;
+  std::string full;
+  for (const Use& use : UseOf(known, query.target)) {
+    ServiceAllowance& service = gate.services[use.service];
+    CountSlots(service, use.service, directory);
+    const double slots = service.slots > 0 ? service.slots : kNoLimit;
+    const double rate = GrantOf(settings, service, query.now) *
+                        settings.target * slots / gate.entries;
+    const double most =
+        std::max(rate * absl::ToDoubleSeconds(settings.burst), 2 * use.seconds);
+    Fill(service.all, rate, most, query.now);
+    Fill(service.minimum[query.priority], rate * settings.minimum_share, most,
+         query.now);
+    demands.push_back({&service, use.seconds, most});
+    if (full.empty() && !HasRoom(settings, demands.back(), query.priority)) {
+      full = use.service;
     }
   }
-  if (admitted >= 1) {
-    return true;
+  if (!full.empty()) {
+    return full;
   }
-  known.credit += admitted;
-  if (known.credit >= 1) {
-    known.credit -= 1;
-    return true;
+  for (const Demand& demand : demands) {
+    Take(demand, query.priority);
   }
-  return false;
+  return "";
 }
 
 }  // namespace boragepaddle::routing
--- a/src/boragepaddle/routing/root_gate.h
+++ b/src/boragepaddle/routing/root_gate.h
@@ -3,12 +3,12 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
 
 #include "absl/container/btree_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/span.h"
+#include "boragepaddle/catalog/worker_directory.h"
 #include "boragepaddle/schema/messages.h"
 
 namespace boragepaddle::routing {
@@ -16,58 +16,77 @@
 /// Gate for root requests at their entry.
 struct RootGateSettings {
   /// Weight of one sample in what a route uses of a service.
-  double use_weight = 0.05;
-  /// Time in which counted demand falls to a third.
-  absl::Duration demand_memory = absl::Seconds(2);
-  /// A held-back share counts for this long after its report.
-  absl::Duration report_life = absl::Seconds(1);
-  /// The least important requests keep this part of the share that is admitted
-  /// over all, so that no kind of request ends altogether.
-  double least_part = 0.35;
+  double use_weight = 0.1;
   /// The first requests of a route all report what they use, later ones one
   /// in this many.
   uint32_t first_samples = 16;
-  uint32_t sample_every = 16;
+  uint32_t sample_every = 8;
+  /// Load of a service up to which root requests are admitted.
+  double target = 0.92;
+  /// Time over which unused allowance is kept, and up to which the most
+  /// important requests may run into debt.
+  absl::Duration burst = absl::Milliseconds(300);
+  /// Share of the allowance that is kept back from each lower priority.
+  double reserve = 0.25;
+  /// Share of the allowance that each priority has for itself, so that no kind
+  /// of request ends altogether.
+  double minimum_share = 0.06;
+  /// Reports count for this long.
+  absl::Duration report_life = absl::Seconds(1);
+  /// Factor for workers without a report.
+  double default_grant = 1.15;
 };
 
-/// What requests of a route use, and how many were admitted.
+/// What requests of a route use.
 struct RouteUse {
   /// Slot time per request, in seconds, by service.
   absl::btree_map<std::string, double> slot_seconds;
   uint32_t samples = 0;
   uint64_t requests = 0;
-  /// Admitted shares add up here; a request is admitted at 1.
-  double credit = 0.5;
 };
 
-/// Demand of root requests for one service, by priority, decaying.
-struct ServiceDemand {
-  absl::btree_map<uint32_t, double> by_priority;
-  absl::Time updated = absl::InfinitePast();
+/// Allowance of slot time that refills at a steady rate.
+struct Allowance {
+  /// Slot time that may be used now, in seconds.
+  double level = 0;
+  absl::Time filled = absl::InfinitePast();
 };
 
 /// Last report of one worker.
-struct HeldBackReport {
-  double share = 0;
+struct GrantReport {
+  double factor = 1;
   double weight = 1;
   absl::Time at = absl::InfinitePast();
 };
 
+/// Allowances for one service.
+struct ServiceAllowance {
+  Allowance all;
+  /// By priority; priorities that were seen.
+  absl::btree_map<uint32_t, Allowance> minimum;
+  /// By host of the worker.
+  absl::btree_map<std::string, GrantReport> reports;
+  /// Slots of the service that are in use, and the directory generation that
+  /// they were counted for.
+  double slots = 0;
+  uint64_t generation = 0;
+};
+
 struct RootGate {
   RootGateSettings settings;
   absl::btree_map<std::string, RouteUse> routes;
-  absl::btree_map<std::string, ServiceDemand> demand;
-  /// By service and host of the worker.
-  absl::btree_map<std::string, absl::btree_map<std::string, HeldBackReport>>
-      reports;
+  absl::btree_map<std::string, ServiceAllowance> services;
+  /// Entries that share the capacity of a service.
+  double entries = 1;
+  uint64_t entries_generation = 0;
 };
 
-/// A worker's node reported the share to hold back.
-void OnHeldBack(RootGate& gate,
-                absl::string_view service,
-                absl::string_view host,
-                const schema::GateLoad& load,
-                absl::Time now);
+/// A worker's node reported its grant.
+void OnGrant(RootGate& gate,
+             absl::string_view service,
+             absl::string_view host,
+             const schema::GateLoad& load,
+             absl::Time now);
 
 /// A request completed and told what it used.
 void OnUse(RootGate& gate,
@@ -77,19 +96,20 @@
 /// True if the next request of the route is to tell what it uses.
 bool WantsUse(const RootGate& gate, absl::string_view route);
 
-/// Share to hold back for the service, over all its workers.
-double ServiceHeldBack(const RootGate& gate,
-                       absl::string_view service,
-                       absl::Time now);
-
-/// Counts a root request and decides whether it may start. On false, `service`
-/// names the service that has no room.
-bool AdmitRoot(RootGate& gate,
-               absl::string_view route,
-               absl::string_view target,
-               uint32_t priority,
-               absl::Time now,
-               std::string* service);
+/// A root request that asks to start.
+struct RootQuery {
+  absl::string_view route;
+  /// Service that the request goes to.
+  absl::string_view target;
+  uint32_t priority = 0;
+  absl::Time now;
+};
+
+/// Decides whether a root request may start, and takes its slot time from the
+/// allowances. Empty if it may; else the service that has no room.
+std::string AdmitRoot(RootGate& gate,
+                      const catalog::WorkerDirectory& directory,
+                      const RootQuery& query);
 
 }  // namespace boragepaddle::routing
 
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -177,7 +177,7 @@
 
 bool operator==(const GateLoad& a, const GateLoad& b) {
   return a.running == b.running && a.queued == b.queued && a.limit == b.limit &&
-         a.pressure == b.pressure;
+         a.grant == b.grant;
 }
 
 bool operator!=(const GateLoad& a, const GateLoad& b) {
@@ -522,7 +522,7 @@
   Pack(packer, value.running);
   Pack(packer, value.queued);
   Pack(packer, value.limit);
-  Pack(packer, value.pressure);
+  Pack(packer, value.grant);
 }
 
 bool Unpack(const msgpack::object& object, GateLoad* value) {
@@ -530,7 +530,7 @@
   reader.Next(&value->running);
   reader.Next(&value->queued);
   reader.Next(&value->limit);
-  reader.Next(&value->pressure);
+  reader.Next(&value->grant);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -169,8 +169,9 @@
   uint32_t queued = 0;
   /// Calls that may run at once; 0 if the worker takes none.
   uint32_t limit = 0;
-  /// Share of the root requests' work to hold back, in thousandths.
-  uint32_t pressure = 0;
+  /// Factor on the share of the worker's capacity that an entry may use for
+  /// root requests, in thousandths.
+  uint32_t grant = 0;
 };
 /// Compares all fields.
 bool operator==(const GateLoad& a, const GateLoad& b);
