--- a/src/boragepaddle/routing/root_gate.h
+++ b/src/boragepaddle/routing/root_gate.h
@@ -2,6 +2,8 @@
 #define BORAGEPADDLE_ROUTING_ROOT_GATE_H_
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 
 #include "absl/container/btree_map.h"
@@ -75,7 +77,8 @@
 struct RootGate {
   RootGateSettings settings;
   absl::btree_map<std::string, RouteUse> routes;
-  absl::btree_map<std::string, ServiceAllowance> services;
+  /// A map whose values stay in place when others are added.
+  std::map<std::string, ServiceAllowance, std::less<>> services;
   /// Entries that share the capacity of a service.
   double entries = 1;
   uint64_t entries_generation = 0;
