Offer calls again that a worker refused, within a paced budget of repeats

One refusal ended the whole tree. A refusal by a worker is no run, so it no longer counts for the route's bound on workers; repeats go to the most important first.

--- a/src/boragepaddle/admission/grant.cc
+++ b/src/boragepaddle/admission/grant.cc
@@ -64,7 +64,9 @@
   grant.updated = now;
   const double rate =
       ArrivalsInWindow(grant, now) / absl::ToDoubleSeconds(settings.window);
-  const double memory = absl::FDivDuration(step, settings.repeat_window);
+  const double memory = absl::FDivDuration(step, rate > grant.usual_rate
+                                                     ? settings.repeat_window
+                                                     : settings.repeat_memory);
   grant.usual_rate += (rate - grant.usual_rate) * memory;
   grant.usual_rate = std::max(grant.usual_rate, 1e-3);
   grant.load = std::max(SlotLoad(grant, input, rate), RepeatLoad(grant, rate));
--- a/src/boragepaddle/admission/grant.h
+++ b/src/boragepaddle/admission/grant.h
@@ -29,8 +29,10 @@
   /// Part of the limit on repeats that refusals by the worker may use up.
   double repeat_part = 0.85;
   double repeat_ratio = 0.2;
-  /// Requests that the limit on repeats refers to are counted over this time.
+  /// Requests that the limit on repeats refers to are counted over this time;
+  /// the limit looks back over two such windows, so a fall shows later.
   absl::Duration repeat_window = absl::Seconds(10);
+  absl::Duration repeat_memory = absl::Seconds(30);
 };
 
 /// What happened at a worker since the last update.
--- a/src/boragepaddle/proxy/entry.cc
+++ b/src/boragepaddle/proxy/entry.cc
@@ -95,6 +95,10 @@
                       call.arrived);
   exchange->SetOnAbandoned(
       [this, call_id = call.id] { this->OnAbandoned(call_id); });
+  if (call.parent_repeat) {
+    retry::CountRepeat(this->budgets[call.service], this->BudgetSettings(),
+                       call.arrived);
+  }
   if (!call.nested && !this->AdmitRoot(call)) {
     this->RefuseNotRun(call);
     return;
@@ -173,6 +177,12 @@
   query.only_with_room = true;
   const catalog::WorkerEntry* worker =
       routing::ChooseWorker(this->loads, this->store.workers, query);
+  if (worker == nullptr && call.rejections > 0) {
+    // Every worker refused once; a worker that sheds takes the next one.
+    call.tried.clear();
+    query.exclude = call.tried;
+    worker = routing::ChooseWorker(this->loads, this->store.workers, query);
+  }
   if (worker == nullptr && call.tried.empty()) {
     query.only_with_room = false;
     worker = routing::ChooseWorker(this->loads, this->store.workers, query);
@@ -313,6 +323,7 @@
       std::max(call.retry_after, absl::Microseconds(answer.retry_after_us));
   if (answer.offered) {
     // The worker itself refused; another send is a repeat for the budget.
+    ++call.rejections;
     if (this->MayRepeat(call)) {
       this->Attempt(call);
       return;
@@ -341,12 +352,16 @@
   if (call.may_have_run && !call.route->repeatable) {
     return false;
   }
-  if (call.offers >= call.route->max_workers ||
+  // A refusal by a worker is no run, so it does not count for the route's
+  // bound on workers.
+  if (call.offers - call.rejections >= call.route->max_workers ||
+      call.rejections > this->bounds.max_rejections ||
       call.give_up_at - now < this->bounds.min_repeat_time) {
     return false;
   }
-  return retry::TakeRepeats(this->budgets[call.service], this->BudgetSettings(),
-                            1, this->store.workers.entries.size(), now);
+  const double part = call.priority == 0 ? 1.0 : this->bounds.lower_repeat_part;
+  return retry::TakeRepeat(this->budgets[call.service], this->BudgetSettings(),
+                           part, this->store.workers.entries.size(), now);
 }
 
 retry::RepeatBudgetSettings Entry::BudgetSettings() const {
--- a/src/boragepaddle/proxy/entry.h
+++ b/src/boragepaddle/proxy/entry.h
@@ -28,6 +28,11 @@
 struct EntrySettings {
   /// Nodes without room that are asked in turn.
   uint32_t max_moves = 3;
+  /// Refusals by workers after which a request is refused.
+  uint32_t max_rejections = 6;
+  /// Part of the limit on repeats that all but the most important requests may
+  /// use.
+  double lower_repeat_part = 0.3;
   /// A repeat needs this share of the time to the objective, or of the time
   /// left where there is no objective.
   absl::Duration min_repeat_time = absl::Milliseconds(50);
--- a/src/boragepaddle/proxy/entry_call.h
+++ b/src/boragepaddle/proxy/entry_call.h
@@ -39,6 +39,8 @@
   std::vector<std::string> tried;
   /// Workers that were given the request, or may have been.
   uint32_t offers = 0;
+  /// Offers that the worker refused without running the request.
+  uint32_t rejections = 0;
   /// Refusals by nodes that had no room.
   uint32_t moves = 0;
   /// An attempt may have run without an answer.
--- a/src/boragepaddle/retry/repeat_budget.h
+++ b/src/boragepaddle/retry/repeat_budget.h
@@ -20,12 +20,18 @@
   absl::Duration window = absl::Seconds(10);
   /// Part of the limit that is used, since nodes count at other moments than
   /// the judge of the limit.
-  double safety = 0.6;
+  double safety = 0.8;
+  /// Part of the limit that may be used within the newest slices, so that the
+  /// start of a fault does not use up what the rest of it needs.
+  double newest_part = 0.2;
 };
 
-/// Requests and repeats for one service in the last window, in slices.
+/// Requests and repeats for one service in the last two windows, in slices.
 struct RepeatBudget {
-  static constexpr size_t kSlices = 20;
+  static constexpr size_t kSlicesPerWindow = 20;
+  static constexpr size_t kSlices = 2 * kSlicesPerWindow;
+  /// Slices that count as newest.
+  static constexpr size_t kNewestSlices = 2;
 
   struct Slice {
     int64_t number = -1;
@@ -41,14 +47,20 @@
                   const RepeatBudgetSettings& settings,
                   absl::Time now);
 
-/// True, and counts `repeats`, if they fit into the part of a node among
-/// `nodes`.
-bool TakeRepeats(RepeatBudget& budget,
+/// Counts a repeat that happens in any case, such as a call of a request that
+/// is itself repeated.
+void CountRepeat(RepeatBudget& budget,
                  const RepeatBudgetSettings& settings,
-                 double repeats,
-                 size_t nodes,
                  absl::Time now);
 
+/// True, and counts a repeat, if it fits into `part` (0 to 1) of the share of a
+/// node among `nodes`.
+bool TakeRepeat(RepeatBudget& budget,
+                const RepeatBudgetSettings& settings,
+                double part,
+                size_t nodes,
+                absl::Time now);
+
 }  // namespace boragepaddle::retry
 
 #endif  // BORAGEPADDLE_RETRY_REPEAT_BUDGET_H_
