--- a/src/boragepaddle/proxy/entry.cc
+++ b/src/boragepaddle/proxy/entry.cc
@@ -289,6 +289,11 @@
   call.offers += answer.offered ? 1 : 0;
   switch (answer.outcome) {
     case Outcome::kCompleted:
+      if (this->IsOwnFailure(call, answer) && this->MayRepeat(call)) {
+        call.may_have_run = true;
+        this->Attempt(call);
+        return;
+      }
       this->LearnUse(call, answer);
       this->Deliver(call, answer);
       return;
@@ -306,6 +311,14 @@
   }
 }
 
+// Another worker may succeed where this one failed by itself; after a failed
+// nested call it would most likely fail as well.
+bool Entry::IsOwnFailure(const EntryCall& call,
+                         const schema::HttpAnswer& answer) const {
+  return call.route->repeatable && !answer.nested_failed &&
+         answer.status >= 500 && answer.status != 504;
+}
+
 void Entry::LearnUse(const EntryCall& call, const schema::HttpAnswer& answer) {
   if (answer.use.empty()) {
     return;
@@ -534,6 +547,9 @@
       this->log.Failed(line, now);
     }
   }
+  if (call.nested && (reply.status < 200 || reply.status >= 300)) {
+    this->local.NoteNestedFailure(call.parent_id);
+  }
   const auto exchange = call.exchange;
   this->calls.erase(call.id);
   if (reply.status != 0) {
--- a/src/boragepaddle/proxy/entry.h
+++ b/src/boragepaddle/proxy/entry.h
@@ -89,6 +89,8 @@
 
   void Deliver(EntryCall& call, schema::HttpAnswer& answer);
   void RefuseNotRun(EntryCall& call);
+  bool IsOwnFailure(const EntryCall& call,
+                    const schema::HttpAnswer& answer) const;
   void FailUnknown(EntryCall& call, uint32_t status);
   void Finish(EntryCall& call, event::HttpReply reply, absl::string_view how);
   void AnswerEarly(const std::shared_ptr<event::HttpExchange>& exchange,
--- a/src/boragepaddle/proxy/worker_side.cc
+++ b/src/boragepaddle/proxy/worker_side.cc
@@ -229,6 +229,13 @@
   return parent;
 }
 
+void WorkerSide::NoteNestedFailure(absl::string_view request_id) {
+  const auto found = this->running.find(request_id);
+  if (found != this->running.end()) {
+    this->calls.at(found->second).nested_failed = true;
+  }
+}
+
 void WorkerSide::AddUse(absl::string_view request_id,
                         absl::Span<const schema::ServiceUse> use) {
   const auto found = this->running.find(request_id);
@@ -275,6 +282,7 @@
     this->running.erase(run);
   }
   answer.call_id = call.message.call_id;
+  answer.nested_failed = call.nested_failed;
   answer.load = this->Load();
   this->LogEnd(call, answer);
   if (!call.cancelled) {
--- a/src/boragepaddle/proxy/worker_side.h
+++ b/src/boragepaddle/proxy/worker_side.h
@@ -65,6 +65,9 @@
   /// The request if it runs at the worker.
   absl::optional<ParentCall> FindRunning(absl::string_view request_id) const;
 
+  /// A call that a running request made had no success.
+  void NoteNestedFailure(absl::string_view request_id);
+
   /// A call that a running request made told what it used.
   void AddUse(absl::string_view request_id,
               absl::Span<const schema::ServiceUse> use);
@@ -86,6 +89,7 @@
     absl::Time give_up_at;
     /// Of the calls that the request made.
     std::vector<schema::ServiceUse> nested_use;
+    bool nested_failed = false;
     bool started = false;
     bool cancelled = false;
   };
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -366,7 +366,7 @@
          a.reason == b.reason && a.offered == b.offered &&
          a.retry_after_us == b.retry_after_us && a.status == b.status &&
          a.fields == b.fields && a.body == b.body && a.load == b.load &&
-         a.use == b.use;
+         a.use == b.use && a.nested_failed == b.nested_failed;
 }
 
 bool operator!=(const HttpAnswer& a, const HttpAnswer& b) {
@@ -893,7 +893,7 @@
 }
 
 void Pack(Packer& packer, const HttpAnswer& value) {
-  packer.pack_array(10);
+  packer.pack_array(11);
   Pack(packer, value.call_id);
   Pack(packer, value.outcome);
   Pack(packer, value.reason);
@@ -904,6 +904,7 @@
   Pack(packer, value.body);
   Pack(packer, value.load);
   Pack(packer, value.use);
+  Pack(packer, value.nested_failed);
 }
 
 bool Unpack(const msgpack::object& object, HttpAnswer* value) {
@@ -918,6 +919,7 @@
   reader.Next(&value->body);
   reader.Next(&value->load);
   reader.Next(&value->use);
+  reader.Next(&value->nested_failed);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -458,6 +458,8 @@
   std::string body;
   GateLoad load;
   std::vector<ServiceUse> use;
+  /// A call that the request made had no success.
+  bool nested_failed = false;
 };
 /// Compares all fields.
 bool operator==(const HttpAnswer& a, const HttpAnswer& b);
