End the process after a stop; take calls while leaving; copies on request

Meanwhile the nodes refused calls of others (413 nested calls refused as leaving between 15 s and 17 s, with two of three lending nodes stopping). A leaving node now asks to be passed over and takes what still comes for 2.2 s. Nodes that start ask for a copy of the store's items only when they cannot read them; before, every peer sent one.

--- a/src/apps/boragepaddle_sidecar.cc
+++ b/src/apps/boragepaddle_sidecar.cc
@@ -128,7 +128,9 @@
   };
   wait_signal();
   loop.run();
-  return kExitOk;
+  // Nothing is left to be written, and the log library waits for threads of
+  // its own when it is taken down.
+  std::_Exit(kExitOk);
 }
 
 }  // namespace
--- a/src/boragepaddle/catalog/worker_directory.cc
+++ b/src/boragepaddle/catalog/worker_directory.cc
@@ -21,6 +21,13 @@
   ++directory.generation;
 }
 
+void ConfirmWorker(WorkerDirectory& directory, absl::string_view instance) {
+  const auto found = directory.entries.find(instance);
+  if (found != directory.entries.end()) {
+    found->second.gone_at = absl::InfiniteFuture();
+  }
+}
+
 void RemoveWorker(WorkerDirectory& directory,
                   absl::string_view instance,
                   uint64_t revision,
--- a/src/boragepaddle/catalog/worker_directory.h
+++ b/src/boragepaddle/catalog/worker_directory.h
@@ -57,6 +57,9 @@
 /// Adds or replaces an entry.
 void PutWorker(WorkerDirectory& directory, WorkerEntry entry, absl::Time now);
 
+/// The instance is listed as before; a pending removal is dropped.
+void ConfirmWorker(WorkerDirectory& directory, absl::string_view instance);
+
 /// The instance is no longer listed as of the revision.
 void RemoveWorker(WorkerDirectory& directory,
                   absl::string_view instance,
--- a/src/boragepaddle/proxy/peer_network.cc
+++ b/src/boragepaddle/proxy/peer_network.cc
@@ -89,6 +89,18 @@
   return channel;
 }
 
+void PeerNetwork::SendToOne(const schema::Message& message) {
+  std::vector<PeerChannelPtr> open;
+  for (const PeerChannelPtr& channel : this->all) {
+    if (channel->is_open()) {
+      open.push_back(channel);
+    }
+  }
+  if (!open.empty()) {
+    open[this->next_turn++ % open.size()]->Send(message);
+  }
+}
+
 void PeerNetwork::Broadcast(const schema::Message& message) {
   for (const PeerChannelPtr& channel : this->all) {
     if (channel->is_open()) {
--- a/src/boragepaddle/proxy/peer_network.h
+++ b/src/boragepaddle/proxy/peer_network.h
@@ -37,6 +37,9 @@
   /// malformed.
   event::PeerChannelPtr ChannelTo(absl::string_view host, uint16_t port);
 
+  /// Sends to some node with an open channel, in turn.
+  void SendToOne(const schema::Message& message);
+
   /// Sends to all nodes with an open channel, in either direction.
   void Broadcast(const schema::Message& message);
 
@@ -53,6 +56,7 @@
   absl::flat_hash_map<std::string, event::PeerChannelPtr> outgoing;
   absl::flat_hash_set<event::PeerChannelPtr> all;
   uint64_t next_number = 1;
+  uint64_t next_turn = 0;
 };
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -36,6 +36,12 @@
 /// from two readiness probes a second apart.
 constexpr absl::Duration kKeepAccepting = absl::Milliseconds(2600);
 
+/// Time after SIGTERM in which calls of other nodes are still taken.
+constexpr absl::Duration kKeepTaking = absl::Milliseconds(2200);
+
+/// Time in which a node that starts reads the store by itself.
+constexpr absl::Duration kReadTime = absl::Milliseconds(300);
+
 /// Before the end of the grace period everything is closed.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(300);
 
@@ -51,6 +57,8 @@
       return "worker_removed";
     case StoreChange::Kind::kEntryIgnored:
       return "entry_ignored";
+    case StoreChange::Kind::kUnchanged:
+      return "unchanged";
   }
   return "invalid";
 }
@@ -112,7 +120,8 @@
                    event::SourceWatchSettings(),
                    this->MakeWatchEvents("workers")),
       timer(loop),
-      last_tick(event::BootNow()),
+      started(event::BootNow()),
+      last_tick(this->started),
       last_slow_tick(this->last_tick),
       last_reload(this->last_tick) {}
 
@@ -161,17 +170,7 @@
   events.on_closed = [this](const PeerChannelPtr& channel) {
     this->OnChannelClosed(channel);
   };
-  events.make_hello = [this] {
-    schema::PeerHello hello;
-    hello.vm_id = this->settings.vm_id;
-    hello.host = this->settings.host;
-    hello.service = this->settings.service;
-    hello.incarnation = this->incarnation;
-    hello.config_revision =
-        this->store.routes == nullptr ? 0 : this->store.routes->revision;
-    hello.directory_revision = this->store.workers.revision;
-    return hello;
-  };
+  events.make_hello = [this] { return this->MakeHello(); };
   events.is_waiting = [this](const PeerChannelPtr& channel) {
     return this->entry.IsWaiting(channel);
   };
@@ -203,13 +202,20 @@
 
 void ProxyNode::ApplyChanges(const std::vector<schema::KeyValue>& items) {
   const auto changes = ApplyItems(this->store, items, event::BootNow());
+  bool changed = false;
   for (const StoreChange& change : changes) {
+    if (change.kind == StoreChange::Kind::kUnchanged) {
+      continue;
+    }
+    changed = true;
     this->log.State(LogLine("store", KindName(change.kind))
                         .Add("key", change.key)
                         .Add("revision", change.revision)
                         .Add("detail", change.detail));
   }
-  this->OnStateChanged();
+  if (changed) {
+    this->OnStateChanged();
+  }
 }
 
 void ProxyNode::OnStateChanged() {
@@ -247,13 +253,23 @@
   }
 }
 
+schema::PeerHello ProxyNode::MakeHello() const {
+  schema::PeerHello hello;
+  hello.vm_id = this->settings.vm_id;
+  hello.host = this->settings.host;
+  hello.service = this->settings.service;
+  hello.incarnation = this->incarnation;
+  hello.config_revision =
+      this->store.routes == nullptr ? 0 : this->store.routes->revision;
+  hello.directory_revision = this->store.workers.revision;
+  hello.wants_copy = this->WantsCopy();
+  return hello;
+}
+
 void ProxyNode::OnPeerHello(const PeerChannelPtr& channel,
                             const schema::PeerHello& hello) {
   channel->host = hello.host;
-  const bool has_state =
-      this->store.routes != nullptr && this->store.workers.revision > 0;
-  if (has_state &&
-      (hello.config_revision == 0 || hello.directory_revision == 0)) {
+  if (hello.wants_copy && this->HasState()) {
     channel->Send(MakeStoreCopy(this->store));
   }
   if (this->stopping_since != absl::InfiniteFuture()) {
@@ -304,9 +320,22 @@
   this->entry.OnChannelClosed(channel);
 }
 
+bool ProxyNode::HasState() const {
+  return this->store.routes != nullptr && !this->store.workers.entries.empty();
+}
+
+bool ProxyNode::WantsCopy() const {
+  return !this->HasState() && event::BootNow() - this->started > kReadTime;
+}
+
+void ProxyNode::AskForCopy() {
+  if (this->WantsCopy()) {
+    this->peers.SendToOne(this->MakeHello());
+  }
+}
+
 bool ProxyNode::IsReady() const {
-  return this->stopping_since == absl::InfiniteFuture() &&
-         this->store.routes != nullptr && !this->store.workers.entries.empty();
+  return this->stopping_since == absl::InfiniteFuture() && this->HasState();
 }
 
 void ProxyNode::OnReadyProbe(
@@ -343,6 +372,7 @@
     this->probes.Tick(now);
     this->workers.Tick(now);
     this->peers.Tick(now);
+    this->AskForCopy();
     if (catalog::ExpireWorkers(this->store.workers, now)) {
       this->OnStateChanged();
     }
@@ -429,6 +459,9 @@
 
 void ProxyNode::TickStopping(absl::Time now) {
   const absl::Duration elapsed = now - this->stopping_since;
+  if (elapsed > kKeepTaking) {
+    this->worker_side.StopTaking();
+  }
   if (elapsed < kKeepAccepting) {
     return;
   }
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -68,6 +68,11 @@
   void OnReadyProbe(const std::shared_ptr<event::HttpExchange>& exchange);
   void ApplyChanges(const std::vector<schema::KeyValue>& items);
   void OnStateChanged();
+  schema::PeerHello MakeHello() const;
+  bool HasState() const;
+  bool WantsCopy() const;
+  /// Asks another node for its copy while the store cannot be read.
+  void AskForCopy();
   bool IsReady() const;
   void ScheduleTick();
   void Tick();
@@ -92,6 +97,7 @@
   boost::asio::steady_timer timer;
   /// Worker-side ids of remote calls, by channel number and call id.
   absl::flat_hash_map<std::pair<uint64_t, uint64_t>, uint64_t> remote_calls;
+  const absl::Time started;
   absl::Time last_tick;
   absl::Time last_slow_tick;
   absl::Time last_reload;
--- a/src/boragepaddle/proxy/store_state.cc
+++ b/src/boragepaddle/proxy/store_state.cc
@@ -44,6 +44,13 @@
   StoreChange change{Kind::kWorkerRemoved, item.key, item.revision, ""};
   const std::string instance =
       item.key.substr(state.dialect.worker_prefix.size());
+  const auto known = state.items.find(item.key);
+  if (!item.removed && known != state.items.end() &&
+      known->second.revision == item.revision) {
+    change.kind = Kind::kUnchanged;
+    catalog::ConfirmWorker(state.workers, instance);
+    return change;
+  }
   if (!item.removed) {
     auto decoded = state.dialect.decode_worker(item.key, item.value);
     if (decoded) {
--- a/src/boragepaddle/proxy/store_state.h
+++ b/src/boragepaddle/proxy/store_state.h
@@ -23,6 +23,7 @@
     kWorkerListed,
     kWorkerRemoved,
     kEntryIgnored,
+    kUnchanged,
   };
   Kind kind = Kind::kEntryIgnored;
   std::string key;
--- a/src/boragepaddle/proxy/worker_side.cc
+++ b/src/boragepaddle/proxy/worker_side.cc
@@ -88,7 +88,7 @@
 }
 
 Reason WorkerSide::Check(const schema::HttpCall& call) const {
-  if (this->leaving) {
+  if (this->stopped) {
     return Reason::kLeaving;
   }
   const catalog::WorkerEntry* worker = this->OwnWorker();
--- a/src/boragepaddle/proxy/worker_side.h
+++ b/src/boragepaddle/proxy/worker_side.h
@@ -59,8 +59,11 @@
   /// senders have acted without them.
   void OnPause();
 
-  /// Takes no new calls.
+  /// Asks the other nodes to send calls elsewhere; calls that still come are
+  /// taken.
   void StartLeaving() { this->leaving = true; }
+  /// Refuses new calls.
+  void StopTaking() { this->stopped = true; }
 
   /// The request if it runs at the worker.
   absl::optional<ParentCall> FindRunning(absl::string_view request_id) const;
@@ -119,6 +122,7 @@
   absl::flat_hash_map<std::string, uint64_t> running;
   uint64_t next_id = 1;
   bool leaving = false;
+  bool stopped = false;
 };
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -385,7 +385,8 @@
   return a.vm_id == b.vm_id && a.host == b.host && a.service == b.service &&
          a.incarnation == b.incarnation &&
          a.config_revision == b.config_revision &&
-         a.directory_revision == b.directory_revision;
+         a.directory_revision == b.directory_revision &&
+         a.wants_copy == b.wants_copy;
 }
 
 bool operator!=(const PeerHello& a, const PeerHello& b) {
@@ -935,13 +936,14 @@
 }
 
 void Pack(Packer& packer, const PeerHello& value) {
-  packer.pack_array(6);
+  packer.pack_array(7);
   Pack(packer, value.vm_id);
   Pack(packer, value.host);
   Pack(packer, value.service);
   Pack(packer, value.incarnation);
   Pack(packer, value.config_revision);
   Pack(packer, value.directory_revision);
+  Pack(packer, value.wants_copy);
 }
 
 bool Unpack(const msgpack::object& object, PeerHello* value) {
@@ -952,6 +954,7 @@
   reader.Next(&value->incarnation);
   reader.Next(&value->config_revision);
   reader.Next(&value->directory_revision);
+  reader.Next(&value->wants_copy);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -485,6 +485,8 @@
   uint64_t config_revision = 0;
   /// 0 if none is known.
   uint64_t directory_revision = 0;
+  /// The sender cannot read the store and asks for a copy.
+  bool wants_copy = false;
 };
 /// Compares all fields.
 bool operator==(const PeerHello& a, const PeerHello& b);
