Watch briefly after an outage of the store; flush the queue of a gone worker

Ruled out: a missed event (trial with each watch traced). The first watch after a failure now waits 50 ms, lapsed entries are kept for 1.75 s.

--- a/src/boragepaddle/event/source_watch.cc
+++ b/src/boragepaddle/event/source_watch.cc
@@ -96,8 +96,10 @@
 }
 
 void SourceWatch::WatchNext() {
+  const absl::Duration wait =
+      this->failures > 0 ? this->settings.first_wait : this->settings.wait;
   this->source.Watch(
-      this->prefix, this->revision, this->settings.wait,
+      this->prefix, this->revision, wait,
       [this, epoch = this->epoch](base::Result<SourcePage, SourceError> page) {
         if (epoch != this->epoch) {
           return;
--- a/src/boragepaddle/event/source_watch.h
+++ b/src/boragepaddle/event/source_watch.h
@@ -18,9 +18,12 @@
 struct SourceWatchSettings {
   /// Longest wait of one watch call.
   absl::Duration wait = absl::Seconds(8);
+  /// Wait of the first watch after a failure, which shows that the source is
+  /// back.
+  absl::Duration first_wait = absl::Milliseconds(50);
   /// Pause after the first failure; doubles up to the longest.
   absl::Duration first_pause = absl::Milliseconds(100);
-  absl::Duration longest_pause = absl::Milliseconds(800);
+  absl::Duration longest_pause = absl::Milliseconds(500);
 };
 
 /// What a watch tells its owner.
--- a/src/boragepaddle/proxy/node_settings.h
+++ b/src/boragepaddle/proxy/node_settings.h
@@ -30,8 +30,9 @@
 
   /// Time between SIGTERM and SIGKILL.
   absl::Duration stop_grace = absl::Seconds(6);
-  /// Time after an outage within which lapsed entries are back.
-  absl::Duration entry_return_time = absl::Seconds(2);
+  /// Time after an outage for which lapsed entries are kept: they are back
+  /// within about 2 s, and a worker that is gone must not get new work later.
+  absl::Duration entry_return_time = absl::Milliseconds(1750);
   /// Limit on repeats over all nodes: share of the requests, and a fixed
   /// number, in any window of the length.
   double repeat_ratio = 0.2;
--- a/src/boragepaddle/proxy/worker_side.cc
+++ b/src/boragepaddle/proxy/worker_side.cc
@@ -79,7 +79,8 @@
 void WorkerSide::OnDirectory() {
   const catalog::WorkerEntry* worker = this->OwnWorker();
   this->gate.slots = worker == nullptr ? kUnlistedSlots : worker->slots;
-  if (worker == nullptr || !worker->draining) {
+  const bool gone = worker == nullptr && !this->store.workers.entries.empty();
+  if (!gone && (worker == nullptr || !worker->draining)) {
     return;
   }
   for (const uint64_t id : admission::RefuseQueued(this->gate)) {
