Park calls that find no worker with room

A nested call now looks for room again every 25 ms for up to 40% of its time, a root for an eighth of its objective. Ruled out: lack of capacity in the other two nodes over the whole window (load 0.7 to 1.0).

--- a/src/boragepaddle/proxy/entry.cc
+++ b/src/boragepaddle/proxy/entry.cc
@@ -188,16 +188,42 @@
     worker = routing::ChooseWorker(this->loads, this->store.workers, query);
   }
   if (worker == nullptr) {
-    if (call.may_have_run) {
-      this->FailUnknown(call, 502);
-    } else {
-      this->RefuseNotRun(call);
-    }
+    this->EndUnsent(call);
     return;
   }
   this->SendTo(call, *worker);
 }
 
+// A refused nested call wastes all work above it, and a service often has room
+// again a moment later, such as when one of its nodes restarts.
+bool Entry::Park(EntryCall& call) {
+  const absl::Time now = event::BootNow();
+  if (call.park_until == absl::InfinitePast()) {
+    const absl::Duration objective =
+        std::min(call.route->objective, call.give_up_at - call.arrived);
+    call.park_until =
+        call.nested
+            ? now + (call.give_up_at - now) * this->bounds.nested_park_part
+            : call.arrived + objective * this->bounds.root_park_part;
+  }
+  if (now + this->bounds.park_pause > call.park_until) {
+    return false;
+  }
+  call.look_again = now + this->bounds.park_pause;
+  return true;
+}
+
+void Entry::EndUnsent(EntryCall& call) {
+  if (this->Park(call)) {
+    return;
+  }
+  if (call.may_have_run) {
+    this->FailUnknown(call, 502);
+    return;
+  }
+  this->RefuseNotRun(call);
+}
+
 void Entry::SendTo(EntryCall& call, const catalog::WorkerEntry& worker) {
   const absl::Time now = event::BootNow();
   schema::HttpCall message = this->MakeMessage(call, worker, now);
@@ -352,6 +378,8 @@
       this->Attempt(call);
       return;
     }
+    this->EndUnsent(call);
+    return;
   }
   if (call.may_have_run) {
     this->FailUnknown(call, 502);
@@ -400,11 +428,9 @@
   call.last_reason = lost.reason;
   if (++call.moves <= this->bounds.max_moves) {
     this->Attempt(call);
-  } else if (call.may_have_run) {
-    this->FailUnknown(call, 502);
-  } else {
-    this->RefuseNotRun(call);
+    return;
   }
+  this->EndUnsent(call);
 }
 
 void Entry::OnChannelClosed(const event::PeerChannelPtr& channel) {
@@ -480,11 +506,21 @@
 
 void Entry::Tick(absl::Time now) {
   std::vector<uint64_t> over;
+  std::vector<uint64_t> parked;
   for (const auto& [id, call] : this->calls) {
     if (now >= call->give_up_at) {
       over.push_back(id);
+    } else if (now >= call->look_again) {
+      parked.push_back(id);
     }
   }
+  for (const uint64_t id : parked) {
+    EntryCall& call = *this->calls.at(id);
+    call.look_again = absl::InfiniteFuture();
+    call.moves = 0;
+    call.tried.clear();
+    this->Attempt(call);
+  }
   for (const uint64_t id : over) {
     this->GiveUp(*this->calls.at(id));
   }
--- a/src/boragepaddle/proxy/entry.h
+++ b/src/boragepaddle/proxy/entry.h
@@ -28,6 +28,12 @@
 struct EntrySettings {
   /// Nodes without room that are asked in turn.
   uint32_t max_moves = 3;
+  /// A call that finds no worker with room looks again after this pause.
+  absl::Duration park_pause = absl::Milliseconds(25);
+  /// Part of the time left for which a nested call looks for room, and of the
+  /// objective for which a root request does.
+  double nested_park_part = 0.4;
+  double root_park_part = 0.125;
   /// Refusals by workers after which a request is refused.
   uint32_t max_rejections = 6;
   /// Part of the limit on repeats that all but the most important requests may
@@ -73,6 +79,8 @@
   void SetLineage(EntryCall& call);
   bool AdmitRoot(EntryCall& call);
   void Attempt(EntryCall& call);
+  /// Waits for room instead of giving up; false if the time for it is over.
+  bool Park(EntryCall& call);
   void SendTo(EntryCall& call, const catalog::WorkerEntry& worker);
   schema::HttpCall MakeMessage(const EntryCall& call,
                                const catalog::WorkerEntry& worker,
@@ -88,6 +96,8 @@
   void ForgetAttempt(EntryCall& call);
 
   void Deliver(EntryCall& call, schema::HttpAnswer& answer);
+  /// No worker took the call for now: parks it or ends it.
+  void EndUnsent(EntryCall& call);
   void RefuseNotRun(EntryCall& call);
   bool IsOwnFailure(const EntryCall& call,
                     const schema::HttpAnswer& answer) const;
--- a/src/boragepaddle/proxy/entry_call.h
+++ b/src/boragepaddle/proxy/entry_call.h
@@ -43,6 +43,9 @@
   uint32_t rejections = 0;
   /// Refusals by nodes that had no room.
   uint32_t moves = 0;
+  /// While no worker has room: when to look again, and until when.
+  absl::Time look_again = absl::InfiniteFuture();
+  absl::Time park_until = absl::InfinitePast();
   /// An attempt may have run without an answer.
   bool may_have_run = false;
   schema::Reason last_reason = schema::Reason::kNoUpstream;
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -37,7 +37,7 @@
 constexpr absl::Duration kKeepAccepting = absl::Milliseconds(2600);
 
 /// Time after SIGTERM in which calls of other nodes are still taken.
-constexpr absl::Duration kKeepTaking = absl::Milliseconds(2200);
+constexpr absl::Duration kKeepTaking = absl::Milliseconds(2500);
 
 /// Time in which a node that starts reads the store by itself.
 constexpr absl::Duration kReadTime = absl::Milliseconds(300);
