--- a/src/boragepaddle/admission/grant.h
+++ b/src/boragepaddle/admission/grant.h
@@ -25,7 +25,7 @@
   absl::Duration drain = absl::Milliseconds(300);
   /// Largest steps down and up.
   double max_cut = 0.75;
-  double max_growth = 1.05;
+  double max_growth = 1.1;
   /// Part of the limit on repeats that refusals by the worker may use up.
   double repeat_part = 0.85;
   double repeat_ratio = 0.2;
