Limit repeats for every window that is still open; smaller bursts of allowance

The new unit tests failed first: the budget allowed 1248 repeats in a window with a limit of 424 (a window that begins after the fell-off of requests), and the first 2 s of a surge let 466 calls through to a worker, of which 88 failed (debt and a full minimum allowance were given to the only priority).

--- a/src/boragepaddle/event/http_server.h
+++ b/src/boragepaddle/event/http_server.h
@@ -48,6 +48,8 @@
   /// Enforces the time limits. Called regularly.
   void Tick(absl::Time now);
 
+  /// Address that the listener is bound to.
+  Tcp::endpoint endpoint() const { return this->acceptor.local_endpoint(); }
   bool closing() const { return this->is_closing; }
   size_t connections() const { return this->open.size(); }
   /// Connections with a request that is being read or answered.
--- a/src/boragepaddle/event/server_connection.cc
+++ b/src/boragepaddle/event/server_connection.cc
@@ -237,9 +237,9 @@
   this->WriteReply(std::move(reply), keep);
 }
 
-void ServerConnection::WriteReply(HttpReply reply, bool keep) {
+void ServerConnection::WriteReply(HttpReply reply, bool keep_alive) {
   this->phase = Phase::kWriting;
-  this->keep_alive = keep;
+  this->keep_alive = keep_alive;
   this->last_progress = BootNow();
   this->response.emplace();
   this->response->version(kHttp11);
@@ -249,7 +249,7 @@
       this->response->insert(ToBeast(field.name), ToBeast(field.value));
     }
   }
-  this->response->keep_alive(keep);
+  this->response->keep_alive(keep_alive);
   if (this->head_request) {
     this->response->content_length(reply.body.size());
   } else {
@@ -308,7 +308,7 @@
   HttpReply reply;
   reply.status = status;
   this->head_request = false;
-  this->WriteReply(std::move(reply), /*keep=*/false);
+  this->WriteReply(std::move(reply), /*keep_alive=*/false);
 }
 
 void ServerConnection::Abandon() {
--- a/src/boragepaddle/platform/boot_settings.cc
+++ b/src/boragepaddle/platform/boot_settings.cc
@@ -31,7 +31,7 @@
   }
 
   std::string Address(const std::string& key) {
-    const std::string value = this->Required(key);
+    std::string value = this->Required(key);
     uint32_t port = 0;
     const size_t colon = value.rfind(':');
     if (colon == std::string::npos ||
--- a/src/boragepaddle/retry/repeat_budget.cc
+++ b/src/boragepaddle/retry/repeat_budget.cc
@@ -1,6 +1,7 @@
 #include "boragepaddle/retry/repeat_budget.h"
 
 #include <algorithm>
+#include <array>
 
 namespace boragepaddle::retry {
 
@@ -12,29 +13,42 @@
          absl::ToInt64Nanoseconds(slice);
 }
 
-bool IsInWindow(const RepeatBudget::Slice& slice, int64_t last) {
-  return slice.number <= last &&
-         slice.number >
-             last - static_cast<int64_t>(RepeatBudget::kSlicesPerWindow);
-}
+constexpr int64_t kWindow = RepeatBudget::kSlicesPerWindow;
+constexpr int64_t kHistory = RepeatBudget::kSlices;
+
+/// Sums over the history, oldest slice first: element i holds the sum of the
+/// first i slices.
+struct History {
+  std::array<double, kHistory + 1> requests{};
+  std::array<double, kHistory + 1> repeats{};
+};
 
-/// Requests in the window that ends with the slice.
-double RequestsUntil(const RepeatBudget& budget, int64_t last) {
-  double requests = 0;
-  for (const RepeatBudget::Slice& slice : budget.slices) {
-    requests += IsInWindow(slice, last) ? slice.requests : 0;
+History MakeHistory(const RepeatBudget& budget, int64_t newest) {
+  History history;
+  for (int64_t index = 0; index < kHistory; ++index) {
+    const int64_t number = newest - kHistory + 1 + index;
+    const RepeatBudget::Slice& slice =
+        budget.slices[static_cast<size_t>(number) % RepeatBudget::kSlices];
+    const bool valid = slice.number == number;
+    history.requests[index + 1] =
+        history.requests[index] + (valid ? slice.requests : 0);
+    history.repeats[index + 1] =
+        history.repeats[index] + (valid ? slice.repeats : 0);
   }
-  return requests;
+  return history;
 }
 
-/// Repeats in the last `count` slices up to `last`.
-double Repeats(const RepeatBudget& budget, int64_t last, size_t count) {
-  double repeats = 0;
-  for (const RepeatBudget::Slice& slice : budget.slices) {
-    const bool counts = slice.number > last - static_cast<int64_t>(count);
-    repeats += counts ? slice.repeats : 0;
-  }
-  return repeats;
+/// Requests that the limit refers to for a window that begins after `start`
+/// slices of the history: those of the window so far, of the window before,
+/// and of the one half a window before.
+double RequestsFor(const History& history, int64_t start) {
+  const auto between = [&](int64_t from, int64_t to) {
+    return history.requests[std::min(to, kHistory)] -
+           history.requests[std::max<int64_t>(from, 0)];
+  };
+  return std::max({between(start, start + kWindow),
+                   between(start - kWindow / 2, start + kWindow / 2),
+                   between(start - kWindow, start)});
 }
 
 RepeatBudget::Slice& CurrentSlice(RepeatBudget& budget, int64_t number) {
@@ -66,23 +80,22 @@
                 size_t nodes,
                 absl::Time now) {
   const int64_t number = SliceNumber(settings, now);
-  const double taken =
-      Repeats(budget, number, RepeatBudget::kSlicesPerWindow) + 1;
-  const double taken_newest =
-      Repeats(budget, number, RepeatBudget::kNewestSlices) + 1;
-  // A fault that needs repeats also lowers the number of requests, so the
-  // window before, and the one half a window before, count as well.
-  constexpr int64_t kWindow = RepeatBudget::kSlicesPerWindow;
-  const double requests = std::max({RequestsUntil(budget, number),
-                                    RequestsUntil(budget, number - kWindow / 2),
-                                    RequestsUntil(budget, number - kWindow)});
+  const History history = MakeHistory(budget, number);
   const double own_allowance =
       settings.allowance / static_cast<double>(std::max<size_t>(nodes, 1));
-  const double limit =
-      part * settings.safety * (settings.ratio * requests + own_allowance);
-  const double newest_limit = std::max(1.0, limit * settings.newest_part);
-  if (taken > limit || taken_newest > newest_limit) {
-    return false;
+  const double used = part * settings.safety;
+  // The repeat counts for every window that is still open, whenever it began.
+  for (int64_t start = kHistory - kWindow; start < kHistory; ++start) {
+    const double limit =
+        used * (settings.ratio * RequestsFor(history, start) + own_allowance);
+    const double taken = history.repeats[kHistory] - history.repeats[start] + 1;
+    const bool newest =
+        start >= kHistory - static_cast<int64_t>(RepeatBudget::kNewestSlices);
+    const double bound =
+        newest ? std::max(1.0, limit * settings.newest_part) : limit;
+    if (taken > bound) {
+      return false;
+    }
   }
   CurrentSlice(budget, number).repeats += 1;
   return true;
--- a/src/boragepaddle/routing/root_gate.cc
+++ b/src/boragepaddle/routing/root_gate.cc
@@ -99,7 +99,9 @@
   const auto rank =
       std::distance(service.minimum.begin(), service.minimum.find(priority));
   if (rank == 0) {
-    return -most;
+    // Debt is for going before others; without others it would only make a
+    // surge larger.
+    return service.minimum.size() > 1 ? -most : 0;
   }
   return std::min(0.75, settings.reserve * static_cast<double>(rank)) * most;
 }
@@ -186,8 +188,8 @@
     const double most =
         std::max(rate * absl::ToDoubleSeconds(settings.burst), 2 * use.seconds);
     Fill(service.all, rate, most, query.now);
-    Fill(service.minimum[query.priority], rate * settings.minimum_share, most,
-         query.now);
+    Fill(service.minimum[query.priority], rate * settings.minimum_share,
+         std::max(most * settings.minimum_share, use.seconds), query.now);
     demands.push_back({&service, use.seconds, most});
     if (full.empty() && !HasRoom(settings, demands.back(), query.priority)) {
       full = use.service;
--- a/src/boragepaddle/routing/root_gate.h
+++ b/src/boragepaddle/routing/root_gate.h
@@ -27,7 +27,7 @@
   double target = 0.92;
   /// Time over which unused allowance is kept, and up to which the most
   /// important requests may run into debt.
-  absl::Duration burst = absl::Milliseconds(300);
+  absl::Duration burst = absl::Milliseconds(150);
   /// Share of the allowance that is kept back from each lower priority.
   double reserve = 0.25;
   /// Share of the allowance that each priority has for itself, so that no kind
@@ -36,7 +36,7 @@
   /// Reports count for this long.
   absl::Duration report_life = absl::Seconds(1);
   /// Factor for workers without a report.
-  double default_grant = 1.15;
+  double default_grant = 1.0;
 };
 
 /// What requests of a route use.
--- /dev/null
+++ b/tests/unit/platform_path/catalog_test.cc
@@ -0,0 +1,110 @@
+#include <doctest/doctest.h>
+
+#include "boragepaddle/catalog/route_catalog.h"
+#include "boragepaddle/catalog/worker_directory.h"
+
+namespace boragepaddle::catalog {
+namespace {
+
+absl::Time At(double seconds) {
+  return absl::UnixEpoch() + absl::Seconds(seconds);
+}
+
+void AddRoute(RouteCatalog& catalog,
+              const std::string& name,
+              const std::string& host,
+              const std::string& prefix) {
+  Route route;
+  route.name = name;
+  route.host = host;
+  route.prefix = prefix;
+  catalog.routes.push_back(route);
+}
+
+RouteCatalog MakeCatalog() {
+  RouteCatalog catalog;
+  AddRoute(catalog, "short", "A.example", "/a/");
+  AddRoute(catalog, "long", "a.example", "/a/b/");
+  AddRoute(catalog, "other", "b.example", "/a/");
+  IndexRoutes(catalog);
+  return catalog;
+}
+
+WorkerEntry MakeEntry(const std::string& instance, uint64_t revision) {
+  WorkerEntry entry;
+  entry.instance = instance;
+  entry.service = "lending";
+  entry.address = "10.0.0.1:80";
+  entry.host = "10.0.0.1";
+  entry.slots = 4;
+  entry.revision = revision;
+  return entry;
+}
+
+TEST_CASE("The longest prefix of the host selects the route") {
+  const RouteCatalog catalog = MakeCatalog();
+  CHECK(FindRoute(catalog, "a.example", "/a/x")->name == "short");
+  CHECK(FindRoute(catalog, "a.example:81", "/a/b/x?q=/a/")->name == "long");
+  CHECK(FindRoute(catalog, "B.EXAMPLE", "/a/b/x")->name == "other");
+  CHECK(FindRoute(catalog, "a.example", "/a") == nullptr);
+  CHECK(FindRoute(catalog, "a.example", "/b?p=/a/") == nullptr);
+  CHECK(FindRoute(catalog, "c.example", "/a/x") == nullptr);
+}
+
+TEST_CASE("A removal after a quiet time drops the worker at once") {
+  WorkerDirectory directory;
+  PutWorker(directory, MakeEntry("i-1", 5), At(0));
+  RemoveWorker(directory, "i-1", 6, At(100));
+  CHECK(directory.entries.empty());
+}
+
+TEST_CASE("Entries that lapsed during an outage are kept for their return") {
+  WorkerDirectory directory;
+  directory.settings.return_time = absl::Seconds(2);
+  PutWorker(directory, MakeEntry("i-1", 5), At(0));
+  PutWorker(directory, MakeEntry("i-2", 6), At(0));
+  OnSourceFailure(directory, At(10));
+  RemoveWorker(directory, "i-1", 7, At(10));
+  RemoveWorker(directory, "i-2", 8, At(10));
+  CHECK_FALSE(ExpireWorkers(directory, At(11.9)));
+  PutWorker(directory, MakeEntry("i-2", 9), At(11));
+  CHECK(ExpireWorkers(directory, At(12)));
+  CHECK(directory.entries.size() == 1);
+  CHECK(directory.entries.contains("i-2"));
+}
+
+TEST_CASE("A worker that reported its leaving is not kept") {
+  WorkerDirectory directory;
+  WorkerEntry entry = MakeEntry("i-1", 5);
+  entry.draining = true;
+  PutWorker(directory, entry, At(0));
+  OnSourceFailure(directory, At(10));
+  RemoveWorker(directory, "i-1", 7, At(10));
+  CHECK(directory.entries.empty());
+}
+
+TEST_CASE("Older statements do not undo newer ones") {
+  WorkerDirectory directory;
+  WorkerEntry draining = MakeEntry("i-1", 7);
+  draining.draining = true;
+  PutWorker(directory, draining, At(0));
+  PutWorker(directory, MakeEntry("i-1", 5), At(1));
+  CHECK(directory.entries.at("i-1").draining);
+  RemoveWorker(directory, "i-1", 6, At(2));
+  CHECK(directory.entries.size() == 1);
+}
+
+TEST_CASE("The newest worker at an address is found") {
+  WorkerDirectory directory;
+  WorkerEntry old_entry = MakeEntry("i-1", 5);
+  old_entry.started_ms = 100;
+  WorkerEntry new_entry = MakeEntry("i-2", 6);
+  new_entry.started_ms = 200;
+  PutWorker(directory, old_entry, At(0));
+  PutWorker(directory, new_entry, At(0));
+  CHECK(FindByAddress(directory, "10.0.0.1:80")->instance == "i-2");
+  CHECK(FindByAddress(directory, "10.0.0.2:80") == nullptr);
+}
+
+}  // namespace
+}  // namespace boragepaddle::catalog
--- /dev/null
+++ b/tests/unit/platform_path/documents_test.cc
@@ -0,0 +1,135 @@
+#include "boragepaddle/platform/documents.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
+#include "boragepaddle/platform/boot_settings.h"
+#include "boragepaddle/platform/store_client.h"
+
+namespace boragepaddle::platform {
+namespace {
+
+constexpr char kConfig[] = R"({"version":"0000000c","routes":{"columns":
+["name","authority","prefix","route_type","timeout_s","target_latency_s",
+"priority","traffic_split","max_attempts","service"],"rows":[
+["r1","a.example","/a/","idempotent",5,1.2,2,
+[{"service":"s1","weight":90},{"service":"s2","weight":10}],2,null],
+["r2","b.example","/b/","upload",0.8,1.5,0,null,1,"s3"]]},
+"services":{"columns":["name","health_path","max_connections"],
+"rows":[["s1","/health",850]]},
+"limits":{"max_header_bytes":100,"max_body_bytes":1000,
+"header_timeout_s":3,"idle_timeout_s":15}})";
+
+constexpr char kEntry[] = R"({"service":"s1","address":"10.0.0.9:8080",
+"zone":"z","slots":125,"state":"ready","cold_remaining_s":1.5,"sequence":4,
+"born":1700000000000})";
+
+constexpr char kBoot[] =
+    "node_id=n1\nip=10.1.0.8\nzone=z\nservice=s1\n"
+    "listen_addrs.outbound=10.1.0.8:8304\nlisten_addrs.ready=10.1.0.8:8302\n"
+    "app_addr=10.1.0.8:8301\nplatform.address=10.200.1.7:8309\n"
+    "internal_port_range=7620,7635\nlimits.memory_mb=260\n"
+    "limits.max_fds=4100\nsomething.new=1\n"
+    "bounds=grace_s=6,retry_budget_ratio=0.2,budget_window_s=10,"
+    "budget_slack=47\n";
+
+TEST_CASE("A configuration is decoded into routes") {
+  const auto catalog = DecodeCatalog(kConfig);
+  REQUIRE(catalog);
+  REQUIRE(catalog.value().routes.size() == 2);
+  const catalog::Route& split = catalog.value().routes[0];
+  CHECK(split.repeatable);
+  CHECK(split.timeout == absl::Seconds(5));
+  CHECK(split.objective == absl::Milliseconds(1200));
+  CHECK(split.max_workers == 2);
+  REQUIRE(split.targets.size() == 2);
+  CHECK(split.targets[1].weight == 10);
+  const catalog::Route& upload = catalog.value().routes[1];
+  CHECK_FALSE(upload.repeatable);
+  CHECK(upload.targets[0].service == "s3");
+  CHECK(catalog.value().limits.max_header_bytes == 100);
+}
+
+TEST_CASE("A damaged configuration is refused as a whole") {
+  CHECK_FALSE(DecodeCatalog("{"));
+  CHECK_FALSE(DecodeCatalog("[]"));
+  const std::string text = kConfig;
+  CHECK_FALSE(DecodeCatalog(text.substr(0, text.size() / 2)));
+  CHECK_FALSE(DecodeCatalog(absl::StrReplaceAll(text, {{"\"/b/\"", "\"b\""}})));
+  CHECK_FALSE(DecodeCatalog(absl::StrReplaceAll(text, {{"0.8", "\"x\""}})));
+}
+
+TEST_CASE("A worker's entry is decoded; its id is in the key") {
+  const auto entry = DecodeWorker("servers/i-7", kEntry);
+  REQUIRE(entry);
+  CHECK(entry.value().instance == "i-7");
+  CHECK(entry.value().host == "10.0.0.9");
+  CHECK(entry.value().slots == 125);
+  CHECK(entry.value().cold_remaining == absl::Milliseconds(1500));
+  CHECK(entry.value().started_ms == 1700000000000);
+  CHECK_FALSE(entry.value().draining);
+}
+
+TEST_CASE("Entries of other writers name no worker") {
+  CHECK_FALSE(DecodeWorker("servers/i-7", "\x01\x02"));
+  CHECK_FALSE(DecodeWorker("servers/i-7", "{}"));
+  const std::string text = kEntry;
+  for (const auto& [from, to] :
+       {std::pair<const char*, const char*>{"\"ready\"", "\"resting\""},
+        {"\"10.0.0.9:8080\"", "\"somewhere\""},
+        {"125", "\"125\""},
+        {"\"s1\"", "7"}}) {
+    CHECK_FALSE(
+        DecodeWorker("servers/i-7", absl::StrReplaceAll(text, {{from, to}})));
+  }
+}
+
+TEST_CASE("The settings file is decoded; unknown keys are ignored") {
+  const auto settings = ParseBootSettings(kBoot);
+  REQUIRE(settings);
+  CHECK(settings.value().node.peer_port == 7620);
+  CHECK(settings.value().node.repeat_allowance == 47);
+  CHECK(settings.value().node.memory_bytes == 260u << 20);
+  CHECK(settings.value().defaulted.empty());
+}
+
+TEST_CASE("A missing or invalid key of the settings file is named") {
+  const auto missing = ParseBootSettings(
+      absl::StrReplaceAll(kBoot, {{"app_addr=10.1.0.8:8301\n", ""}}));
+  REQUIRE_FALSE(missing);
+  CHECK(missing.error().key == "app_addr");
+  const auto invalid =
+      ParseBootSettings(absl::StrReplaceAll(kBoot, {{"7620,7635", "high"}}));
+  REQUIRE_FALSE(invalid);
+  CHECK(invalid.error().key == "internal_port_range");
+  const auto defaulted = ParseBootSettings(
+      absl::StrReplaceAll(kBoot, {{"limits.max_fds=4100\n", ""}}));
+  REQUIRE(defaulted);
+  CHECK(defaulted.value().defaulted ==
+        std::vector<std::string>{"limits.max_fds"});
+}
+
+TEST_CASE("Answers of the store are decoded into pages or typed errors") {
+  const auto page = DecodePage(
+      200, R"({"items":[{"key":"servers/a","value":"eA==","revision":3}],
+               "truncated":true,"as_of":9})");
+  REQUIRE(page);
+  CHECK(page.value().as_of == 9);
+  CHECK(page.value().more);
+  CHECK(page.value().items[0].value == "x");
+  const auto events = DecodePage(
+      200, R"({"events":[{"key":"k","revision":4,"removed":true}],"as_of":4})");
+  REQUIRE(events);
+  CHECK(events.value().items[0].removed);
+  CHECK(DecodePage(410, "").error().code == event::SourceErrorCode::kCompacted);
+  CHECK(DecodePage(429, "").error().code == event::SourceErrorCode::kRefused);
+  CHECK(DecodePage(0, "").error().code == event::SourceErrorCode::kUnreachable);
+  CHECK(DecodePage(200, "{").error().code ==
+        event::SourceErrorCode::kMalformed);
+}
+
+}  // namespace
+}  // namespace boragepaddle::platform
--- /dev/null
+++ b/tests/unit/platform_path/http_test.cc
@@ -0,0 +1,267 @@
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "boragepaddle/event/clock.h"
+#include "boragepaddle/event/http_server.h"
+#include "boragepaddle/event/worker_pool.h"
+
+namespace boragepaddle::event {
+namespace {
+
+const Tcp::endpoint kLoopback(boost::asio::ip::address_v4::loopback(), 0);
+
+/// A server that answers with the request's body, and a blocking client.
+struct EchoServer {
+  boost::asio::io_context loop{1};
+  std::vector<HttpRequest> requests;
+  int abandoned = 0;
+  bool answer = true;
+  HttpServer server{loop,
+                    [this](const std::shared_ptr<HttpExchange>& exchange) {
+                      this->Handle(exchange);
+                    }};
+
+  EchoServer() {
+    HttpServerLimits limits;
+    limits.max_header_bytes = 1000;
+    limits.max_body_bytes = 100;
+    this->server.SetLimits(limits);
+    REQUIRE_FALSE(this->server.Listen(kLoopback));
+  }
+
+  void Handle(const std::shared_ptr<HttpExchange>& exchange) {
+    this->requests.push_back(exchange->request());
+    if (!this->answer) {
+      exchange->SetOnAbandoned([this] { ++this->abandoned; });
+      return;
+    }
+    HttpReply reply;
+    reply.status = 200;
+    reply.body = exchange->request().body;
+    exchange->Reply(std::move(reply));
+  }
+
+  /// Sends the text and returns all that comes back until the server closes or
+  /// the client has shut down its side.
+  std::string Talk(const std::string& text) {
+    std::string received;
+    std::thread client([&] {
+      boost::asio::io_context own;
+      Tcp::socket socket(own);
+      socket.connect(this->server.endpoint());
+      boost::system::error_code error;
+      boost::asio::write(socket, boost::asio::buffer(text), error);
+      socket.shutdown(Tcp::socket::shutdown_send, error);
+      boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+    });
+    const auto work = boost::asio::make_work_guard(this->loop);
+    std::thread waiter([&] {
+      client.join();
+      this->loop.stop();
+    });
+    this->loop.run();
+    waiter.join();
+    this->loop.restart();
+    return received;
+  }
+};
+
+TEST_CASE("Smuggled and malformed requests are never handed over") {
+  const std::vector<std::string> bad = {
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+      "Content-Length: 4\r\n\r\nabcd",
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "zz\r\nab\r\n0\r\n\r\n",
+      "GET /a HTTP/1.1\r\nHost: h\r\nX: a\x01z\r\n\r\n",
+      "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+      "GET /a HTTP/1.1\r\n\r\n",
+      "GET a HTTP/1.1\r\nHost: h\r\n\r\n",
+      "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n",
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n"};
+  for (const std::string& text : bad) {
+    EchoServer echo;
+    const std::string reply = echo.Talk(text);
+    CAPTURE(text);
+    CHECK(absl::StartsWith(reply, "HTTP/1.1 400"));
+    CHECK(echo.requests.empty());
+  }
+}
+
+TEST_CASE("Requests beyond the limits are refused by status") {
+  EchoServer echo;
+  CHECK(absl::StartsWith(echo.Talk("GET /a HTTP/1.1\r\nHost: h\r\nX: " +
+                                   std::string(2000, 'x') + "\r\n\r\n"),
+                         "HTTP/1.1 431"));
+  CHECK(absl::StartsWith(
+      echo.Talk("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n" +
+                std::string(101, 'x')),
+      "HTTP/1.1 413"));
+  CHECK(echo.requests.empty());
+}
+
+TEST_CASE("Requests on one connection are answered in order") {
+  EchoServer echo;
+  const std::string reply = echo.Talk(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\none"
+      "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\ntwo\r\n0\r\n\r\n");
+  REQUIRE(echo.requests.size() == 2);
+  CHECK(echo.requests[1].body == "two");
+  CHECK(reply.find("one") < reply.find("two"));
+}
+
+TEST_CASE("Fields of the connection are not passed on") {
+  EchoServer echo;
+  echo.Talk(
+      "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close, X-Own\r\n"
+      "X-Own: 1\r\nKeep-Alive: 5\r\nX-Kept: 2\r\n\r\n");
+  REQUIRE(echo.requests.size() == 1);
+  REQUIRE(echo.requests[0].fields.size() == 1);
+  CHECK(echo.requests[0].fields[0].name == "X-Kept");
+}
+
+TEST_CASE("A client that leaves is noticed before its answer") {
+  EchoServer echo;
+  echo.answer = false;
+  echo.Talk("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(echo.requests.size() == 1);
+  CHECK(echo.abandoned == 1);
+}
+
+/// A worker that writes scripted bytes after each request.
+struct ScriptedWorker {
+  boost::asio::io_context loop{1};
+  Tcp::acceptor acceptor{loop, kLoopback};
+  std::vector<std::string> scripts;
+  int connections = 0;
+
+  /// Runs `count` requests through a pool, one after the other.
+  std::vector<WorkerResult> Run(size_t count) {
+    std::thread worker([this] { this->Serve(); });
+    std::vector<WorkerResult> results;
+    WorkerPool pool(this->loop, {"Id", "Not-Run"});
+    pool.SetWorker(this->acceptor.local_endpoint());
+    std::function<void()> next = [&] {
+      if (results.size() == count) {
+        this->loop.stop();
+        return;
+      }
+      WorkerRequest request;
+      request.request_id = "r" + std::to_string(results.size());
+      request.method = "GET";
+      request.target = "/";
+      request.host = "h";
+      pool.Send(results.size() + 1, request, [&](WorkerResult result) {
+        results.push_back(std::move(result));
+        next();
+      });
+    };
+    next();
+    const auto work = boost::asio::make_work_guard(this->loop);
+    this->loop.run();
+    worker.join();
+    return results;
+  }
+
+  void Serve() {
+    boost::asio::io_context own;
+    Tcp::acceptor listener(own, Tcp::v4(), dup(this->acceptor.native_handle()));
+    size_t script = 0;
+    while (script < this->scripts.size()) {
+      Tcp::socket socket = listener.accept();
+      ++this->connections;
+      while (script < this->scripts.size()) {
+        char byte = 0;
+        std::string head;
+        boost::system::error_code error;
+        while (!absl::EndsWith(head, "\r\n\r\n") &&
+               boost::asio::read(socket, boost::asio::buffer(&byte, 1),
+                                 error) == 1) {
+          head.push_back(byte);
+        }
+        if (error) {
+          break;
+        }
+        const std::string& text = this->scripts[script++];
+        boost::asio::write(socket, boost::asio::buffer(text), error);
+        if (absl::StrContains(text, "close")) {
+          break;
+        }
+      }
+    }
+  }
+};
+
+constexpr char kWhole[] =
+    "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 2\r\n\r\nok";
+
+TEST_CASE("A whole answer is taken and its connection used again") {
+  ScriptedWorker worker;
+  worker.scripts = {kWhole,
+                    "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n"};
+  const auto results = worker.Run(2);
+  CHECK(results[0].end == WorkerEnd::kAnswered);
+  CHECK(results[0].body == "ok");
+  CHECK(results[1].end == WorkerEnd::kAnswered);
+  CHECK(worker.connections == 1);
+}
+
+TEST_CASE("Bytes after a whole answer end the connection") {
+  ScriptedWorker worker;
+  worker.scripts = {std::string(kWhole) + kWhole,
+                    "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n"};
+  const auto results = worker.Run(2);
+  CHECK(results[0].body == "ok");
+  CHECK(results[1].end == WorkerEnd::kAnswered);
+  CHECK(results[1].body.empty());
+  CHECK(worker.connections == 2);
+}
+
+TEST_CASE("A late second answer to an earlier request is read over") {
+  ScriptedWorker worker;
+  worker.scripts = {kWhole,
+                    std::string(kWhole) +
+                        "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 3\r\n"
+                        "\r\nown"};
+  const auto results = worker.Run(2);
+  CHECK(results[1].end == WorkerEnd::kAnswered);
+  CHECK(results[1].body == "own");
+}
+
+TEST_CASE("Cut, foreign and encoded answers are no answers") {
+  const std::vector<std::pair<std::string, WorkerEnd>> cases = {
+      {"HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 9\r\n"
+       "Connection: close\r\n\r\nok",
+       WorkerEnd::kLost},
+      {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nok",
+       WorkerEnd::kSpoiled},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", WorkerEnd::kSpoiled},
+      {"HTTP/1.1 200 OK\r\nId: r0\r\nContent-Encoding: gzip\r\n"
+       "Content-Length: 2\r\n\r\nok",
+       WorkerEnd::kSpoiled},
+      {"no answer at all\r\n\r\n", WorkerEnd::kSpoiled},
+      {"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+       WorkerEnd::kNotRun},
+      {"HTTP/1.1 200 OK\r\nId: r0\r\nConnection: close\r\n\r\nto the end",
+       WorkerEnd::kAnswered}};
+  for (const auto& [text, end] : cases) {
+    ScriptedWorker worker;
+    worker.scripts = {text};
+    CAPTURE(text);
+    CHECK(worker.Run(1)[0].end == end);
+  }
+}
+
+}  // namespace
+}  // namespace boragepaddle::event
--- /dev/null
+++ b/tests/unit/platform_path/load_patterns_test.cc
@@ -0,0 +1,258 @@
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "boragepaddle/admission/grant.h"
+#include "boragepaddle/admission/worker_gate.h"
+#include "boragepaddle/routing/root_gate.h"
+
+namespace boragepaddle {
+namespace {
+
+/// Entries in front of one service with one worker, in steps of 10 ms. A root
+/// request makes its call after the work above it.
+struct Mesh {
+  static constexpr double kStep = 0.01;
+  static constexpr double kAbove = 0.1;
+  /// Rounding of sums of steps.
+  static constexpr double kTolerance = 1e-6;
+  static constexpr size_t kEntries = 4;
+  static constexpr uint32_t kSlots = 20;
+
+  struct Result {
+    uint64_t asked = 0;
+    uint64_t admitted = 0;
+    uint64_t failed_below = 0;
+  };
+
+  struct Nested {
+    uint64_t id = 0;
+    uint32_t priority = 0;
+  };
+
+  std::vector<routing::RootGate> entries{kEntries};
+  catalog::WorkerDirectory directory;
+  admission::WorkerGate gate =
+      admission::MakeWorkerGate(admission::GateSettings());
+  admission::Grant grant;
+  admission::GrantInput input;
+  /// Requests per second and slot time in seconds, by priority.
+  std::map<uint32_t, double> rates;
+  double work = 0.08;
+  double now = 1000;
+  double debt = 0;
+  uint64_t next_id = 1;
+  std::multimap<double, Nested> above;
+  std::multimap<double, uint64_t> ends;
+  std::map<uint64_t, uint32_t> running;
+  std::map<uint32_t, double> owed;
+  std::map<uint32_t, Result> results;
+
+  Mesh() {
+    catalog::WorkerEntry worker;
+    worker.instance = "i-1";
+    worker.service = "deep";
+    worker.slots = kSlots;
+    for (size_t entry = 0; entry < kEntries; ++entry) {
+      worker.instance = "i-" + std::to_string(entry);
+      worker.host = "10.0.0." + std::to_string(entry);
+      worker.service = entry == 0 ? "deep" : "upper";
+      catalog::PutWorker(this->directory, worker, this->Time());
+    }
+    this->gate.slots = kSlots;
+    this->Learn();
+  }
+
+  absl::Time Time() const {
+    return absl::UnixEpoch() + absl::Seconds(this->now);
+  }
+
+  /// All entries know what the route uses.
+  void Learn() {
+    const std::vector<schema::ServiceUse> use = {
+        {"deep", static_cast<uint64_t>(this->work * 1e6)}};
+    for (routing::RootGate& entry : this->entries) {
+      for (int sample = 0; sample < 20; ++sample) {
+        routing::OnUse(entry, "route", use);
+      }
+    }
+  }
+
+  void Arrive(uint32_t priority) {
+    Result& result = this->results[priority];
+    ++result.asked;
+    routing::RootGate& entry = this->entries[result.asked % kEntries];
+    const routing::RootQuery query{"route", "upper", priority, this->Time()};
+    if (!routing::AdmitRoot(entry, this->directory, query).empty()) {
+      return;
+    }
+    ++result.admitted;
+    this->above.insert({this->now + kAbove, Nested{this->next_id++, priority}});
+  }
+
+  void Perform(const admission::GateActions& actions) {
+    for (const uint64_t id : actions.refuse) {
+      ++this->results[this->running[id]].failed_below;
+      this->running.erase(id);
+    }
+    for (const uint64_t id : actions.start) {
+      this->ends.insert({this->now + this->work, id});
+    }
+  }
+
+  void Call(const Nested& nested) {
+    admission::GateCall call;
+    call.id = nested.id;
+    call.priority = nested.priority;
+    call.nested = true;
+    call.give_up_at = this->Time() + absl::Seconds(0.7);
+    ++this->input.arrivals;
+    this->running[nested.id] = nested.priority;
+    this->Perform(admission::OnGateArrival(this->gate, call, this->Time()));
+  }
+
+  void Step() {
+    this->now += kStep;
+    for (const auto& [priority, rate] : this->rates) {
+      for (this->owed[priority] += rate * kStep; this->owed[priority] >= 1;
+           this->owed[priority] -= 1) {
+        this->Arrive(priority);
+      }
+    }
+    while (!this->above.empty() &&
+           this->above.begin()->first <= this->now + kTolerance) {
+      const Nested nested = this->above.begin()->second;
+      this->above.erase(this->above.begin());
+      this->Call(nested);
+    }
+    while (!this->ends.empty() &&
+           this->ends.begin()->first <= this->now + kTolerance) {
+      const uint64_t id = this->ends.begin()->second;
+      this->ends.erase(this->ends.begin());
+      this->Perform(
+          admission::OnGateFinished(this->gate, id, true, this->Time()));
+    }
+    this->Perform(admission::OnGateTick(this->gate, this->Time()));
+    this->input.limit = admission::GateLimit(this->gate);
+    this->input.queued = static_cast<uint32_t>(this->gate.queue.size());
+    this->input.mean_time = this->gate.mean_time;
+    admission::UpdateGrant(this->grant, this->input, this->Time());
+    this->input = admission::GrantInput();
+    schema::LoadNotice notice;
+    notice.service = "deep";
+    notice.taking = true;
+    notice.load.limit = admission::GateLimit(this->gate);
+    notice.load.grant = admission::GrantThousandths(this->grant);
+    for (routing::RootGate& entry : this->entries) {
+      routing::OnGrant(entry, "deep", "10.0.0.0", notice.load, this->Time());
+    }
+  }
+
+  void Run(double seconds) {
+    for (const double end = this->now + seconds; this->now < end;) {
+      this->Step();
+    }
+  }
+
+  /// Requests per second that the worker can serve.
+  double Capacity() const { return kSlots / this->work; }
+};
+
+double Share(const Mesh::Result& result) {
+  return static_cast<double>(result.admitted - result.failed_below) /
+         static_cast<double>(result.asked);
+}
+
+TEST_CASE("burst_onset: a surge does not fill the deep service's queue") {
+  // Guards against a control that notices a surge only by its effect, after
+  // the work above the service has been done.
+  Mesh mesh;
+  mesh.rates[2] = 0.5 * mesh.Capacity();
+  mesh.Run(5);
+  CHECK(mesh.results[2].failed_below == 0);
+  CHECK(mesh.results[2].admitted == mesh.results[2].asked);
+  mesh.results.clear();
+  mesh.rates[2] = 3 * mesh.Capacity();
+  mesh.Run(2);
+  const Mesh::Result& onset = mesh.results[2];
+  CHECK(onset.failed_below <= onset.admitted / 50);
+  CHECK(Share(onset) >= 0.8 / 3);
+}
+
+TEST_CASE("deep_service_full: the most important requests are served") {
+  Mesh mesh;
+  mesh.rates[0] = 0.4 * mesh.Capacity();
+  mesh.rates[1] = 0.4 * mesh.Capacity();
+  mesh.rates[2] = 1.6 * mesh.Capacity();
+  mesh.Run(3);
+  mesh.results.clear();
+  mesh.Run(10);
+  CHECK(Share(mesh.results[0]) >= 0.95);
+  CHECK(Share(mesh.results[1]) >= Share(mesh.results[2]));
+  // No kind of request ends altogether.
+  CHECK(mesh.results[2].admitted > 0);
+}
+
+TEST_CASE("deep_service_full: the capacity is used") {
+  Mesh mesh;
+  mesh.rates[2] = 2 * mesh.Capacity();
+  mesh.Run(3);
+  mesh.results.clear();
+  mesh.Run(10);
+  const Mesh::Result& result = mesh.results[2];
+  const double served = result.admitted - result.failed_below;
+  CHECK(served >= 0.8 * mesh.Capacity() * 10);
+  CHECK(result.failed_below <= result.admitted / 50);
+}
+
+TEST_CASE("one_slow_worker: the grant falls when each call takes longer") {
+  Mesh mesh;
+  mesh.rates[2] = 0.8 * mesh.Capacity();
+  mesh.Run(3);
+  mesh.work *= 3;
+  mesh.Run(3);
+  mesh.results.clear();
+  mesh.Run(5);
+  CHECK(mesh.results[2].failed_below <= mesh.results[2].admitted / 20);
+  CHECK(mesh.results[2].admitted < mesh.results[2].asked / 2);
+}
+
+TEST_CASE("burst_end: all requests are admitted within 2 s of its end") {
+  Mesh mesh;
+  mesh.rates[2] = 3 * mesh.Capacity();
+  mesh.Run(10);
+  mesh.rates[2] = 0.5 * mesh.Capacity();
+  mesh.Run(2);
+  mesh.results.clear();
+  mesh.Run(5);
+  CHECK(mesh.results[2].admitted == mesh.results[2].asked);
+}
+
+TEST_CASE("shedding_worker: refusals by the worker lower the grant") {
+  // Guards against using up the limit on repeats within the first seconds.
+  admission::Grant grant;
+  admission::GrantInput calm;
+  calm.arrivals = 4;
+  calm.offered = 4;
+  calm.limit = 20;
+  calm.mean_time = absl::Milliseconds(40);
+  absl::Time now = absl::UnixEpoch();
+  for (int tick = 0; tick < 1000; ++tick) {
+    now += absl::Milliseconds(20);
+    admission::UpdateGrant(grant, calm, now);
+  }
+  const double before = grant.factor;
+  CHECK(before >= 1);
+  admission::GrantInput shedding = calm;
+  shedding.rejected = 2;
+  for (int tick = 0; tick < 100; ++tick) {
+    now += absl::Milliseconds(20);
+    admission::UpdateGrant(grant, shedding, now);
+  }
+  CHECK(grant.factor < before / 2);
+}
+
+}  // namespace
+}  // namespace boragepaddle
--- /dev/null
+++ b/tests/unit/platform_path/repeat_budget_test.cc
@@ -0,0 +1,80 @@
+#include "boragepaddle/retry/repeat_budget.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+namespace boragepaddle::retry {
+namespace {
+
+absl::Time At(double seconds) {
+  return absl::UnixEpoch() + absl::Seconds(1000 + seconds);
+}
+
+TEST_CASE("Repeats of all nodes stay within the limit in every window") {
+  // Guards against a limit per node that adds up to more than the whole.
+  constexpr size_t kNodes = 13;
+  constexpr double kAllowance = 47;
+  RepeatBudgetSettings settings;
+  settings.allowance = kAllowance;
+  std::vector<RepeatBudget> nodes(kNodes);
+  std::vector<double> requests_at;
+  std::vector<double> repeats_at;
+  for (int step = 0; step < 4000; ++step) {
+    const double now = step * 0.01;
+    // Traffic falls to a tenth when the fault begins at 20 s.
+    const bool request = now < 20 || step % 10 == 0;
+    for (RepeatBudget& node : nodes) {
+      if (request) {
+        CountRequest(node, settings, At(now));
+        requests_at.push_back(now);
+      }
+      if (now >= 20 && TakeRepeat(node, settings, 1, kNodes, At(now))) {
+        repeats_at.push_back(now);
+      }
+    }
+  }
+  const auto count = [](const std::vector<double>& times, double from) {
+    double total = 0;
+    for (const double time : times) {
+      total += time >= from && time < from + 10 ? 1 : 0;
+    }
+    return total;
+  };
+  CHECK(repeats_at.size() > 1000);
+  for (double from = 10; from < 30; from += 0.5) {
+    const double requests =
+        std::max({count(requests_at, from), count(requests_at, from - 5),
+                  count(requests_at, from - 10)});
+    CHECK(count(repeats_at, from) <= 0.2 * requests + kAllowance);
+  }
+}
+
+TEST_CASE("The start of a fault does not use up the whole window") {
+  RepeatBudgetSettings settings;
+  RepeatBudget budget;
+  for (int step = 0; step < 1000; ++step) {
+    CountRequest(budget, settings, At(step * 0.01));
+  }
+  int first_half_second = 0;
+  while (TakeRepeat(budget, settings, 1, 1, At(10.0))) {
+    ++first_half_second;
+  }
+  CHECK(first_half_second > 10);
+  CHECK(TakeRepeat(budget, settings, 1, 1, At(11.5)));
+}
+
+TEST_CASE("Repeats that happen anyway use up the budget") {
+  RepeatBudgetSettings settings;
+  settings.allowance = 5;
+  settings.safety = 1;
+  settings.newest_part = 1;
+  RepeatBudget budget;
+  for (int repeat = 0; repeat < 5; ++repeat) {
+    CountRepeat(budget, settings, At(0));
+  }
+  CHECK_FALSE(TakeRepeat(budget, settings, 1, 1, At(0)));
+}
+
+}  // namespace
+}  // namespace boragepaddle::retry
--- /dev/null
+++ b/tests/unit/platform_path/worker_choice_test.cc
@@ -0,0 +1,120 @@
+#include "boragepaddle/routing/worker_choice.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "boragepaddle/routing/target_split.h"
+
+namespace boragepaddle::routing {
+namespace {
+
+absl::Time At(double seconds) {
+  return absl::UnixEpoch() + absl::Seconds(seconds);
+}
+
+catalog::WorkerEntry MakeEntry(const std::string& instance,
+                               const std::string& zone) {
+  catalog::WorkerEntry entry;
+  entry.instance = instance;
+  entry.service = "lending";
+  entry.host = "10.0.0." + instance;
+  entry.availability_zone = zone;
+  entry.slots = 20;
+  return entry;
+}
+
+struct Fleet {
+  LoadTable table;
+  catalog::WorkerDirectory directory;
+
+  Fleet() {
+    catalog::PutWorker(this->directory, MakeEntry("1", "a"), At(0));
+    catalog::PutWorker(this->directory, MakeEntry("2", "b"), At(0));
+    catalog::PutWorker(this->directory, MakeEntry("3", "b"), At(0));
+  }
+
+  std::string Choose(const std::vector<std::string>& exclude,
+                     bool only_with_room,
+                     uint64_t random = 1) {
+    ChoiceQuery query;
+    query.service = "lending";
+    query.availability_zone = "a";
+    query.exclude = exclude;
+    query.only_with_room = only_with_room;
+    query.now = At(10);
+    query.random = random;
+    const auto* worker = ChooseWorker(this->table, this->directory, query);
+    return worker == nullptr ? "" : worker->instance;
+  }
+};
+
+TEST_CASE("The own availability zone goes first while it has room") {
+  Fleet fleet;
+  for (uint64_t random = 0; random < 50; ++random) {
+    CHECK(fleet.Choose({}, true, random) == "1");
+  }
+  for (int call = 0; call < 18; ++call) {
+    OnCallSent(fleet.table, "1");
+  }
+  std::map<std::string, int> chosen;
+  for (uint64_t random = 0; random < 50; ++random) {
+    ++chosen[fleet.Choose({}, true, random)];
+  }
+  CHECK(chosen["1"] == 0);
+  // Equal workers are chosen alike, not all calls sent to one.
+  CHECK(chosen["2"] > 10);
+  CHECK(chosen["3"] > 10);
+}
+
+TEST_CASE("Draining, excluded and foreign workers are not chosen") {
+  Fleet fleet;
+  catalog::WorkerEntry draining = MakeEntry("1", "a");
+  draining.draining = true;
+  draining.revision = 9;
+  catalog::PutWorker(fleet.directory, draining, At(1));
+  catalog::WorkerEntry other = MakeEntry("4", "a");
+  other.service = "imaging";
+  catalog::PutWorker(fleet.directory, other, At(1));
+  CHECK(fleet.Choose({"2"}, true) == "3");
+  CHECK(fleet.Choose({"2", "3"}, false).empty());
+}
+
+TEST_CASE("A leaving or unreachable node is the last choice") {
+  Fleet fleet;
+  schema::LoadNotice notice;
+  notice.service = "lending";
+  notice.taking = false;
+  OnLoadNotice(fleet.table, "1", notice, At(10));
+  OnUnreachable(fleet.table, "2", At(9.9));
+  CHECK(fleet.Choose({}, true) == "3");
+  CHECK(fleet.Choose({"3"}, true).empty());
+  CHECK_FALSE(fleet.Choose({"3"}, false).empty());
+}
+
+TEST_CASE("A worker whose answers fail gets fewer calls") {
+  Fleet fleet;
+  schema::GateLoad load;
+  load.limit = 20;
+  for (int answer = 0; answer < 100; ++answer) {
+    OnCallSent(fleet.table, "1");
+    OnCallEnded(fleet.table, "1", load, /*failed=*/answer % 2 == 0, At(10));
+  }
+  CHECK(fleet.Choose({}, true) != "1");
+}
+
+TEST_CASE("Targets get their weight's share in any run of requests") {
+  const std::vector<catalog::RouteTarget> targets = {{"a", 90}, {"b", 10}};
+  TargetSplit split;
+  std::map<size_t, int> counts;
+  for (int request = 0; request < 100; ++request) {
+    ++counts[NextTarget(split, targets)];
+  }
+  CHECK(counts[0] == 90);
+  CHECK(counts[1] == 10);
+}
+
+}  // namespace
+}  // namespace boragepaddle::routing
