--- a/src/boragepaddle/admission/grant.h
+++ b/src/boragepaddle/admission/grant.h
@@ -14,9 +14,9 @@
   double target = 0.92;
   /// Below this load nobody is held back, and the grant returns to its rest.
   double idle = 0.6;
-  double rest = 1.0;
+  double rest = 1.35;
   double min_grant = 0.05;
-  double max_grant = 1.6;
+  double max_grant = 2.0;
   /// Pace of the control.
   absl::Duration interval = absl::Milliseconds(200);
   /// Arrivals are counted over this time.
@@ -56,7 +56,7 @@
 /// workers and repeats.
 struct Grant {
   GrantSettings settings;
-  double factor = 1.0;
+  double factor = 1.35;
   /// Offered load in the last window, 1 being the worker's limit.
   double load = 0;
   /// Smoothed share of calls that the worker refused.
--- a/src/boragepaddle/proxy/entry.cc
+++ b/src/boragepaddle/proxy/entry.cc
@@ -47,7 +47,8 @@
              const StoreState& store,
              WorkerSide& local,
              PeerNetwork& peers,
-             telemetry::EventLog& log)
+             telemetry::EventLog& log,
+             telemetry::RequestMetrics& metrics)
     : loop(loop),
       settings(settings),
       bounds(),
@@ -56,6 +57,7 @@
       local(local),
       peers(peers),
       log(log),
+      metrics(metrics),
       random(std::random_device()()) {}
 
 void Entry::OnRequest(const std::shared_ptr<event::HttpExchange>& exchange) {
@@ -563,6 +565,9 @@
                    absl::string_view how) {
   const absl::Time now = event::BootNow();
   const bool served = reply.status >= 200 && reply.status < 500;
+  this->metrics.Record({"entry", call.service, call.priority, how,
+                        schema::ToString(call.last_reason),
+                        now - call.arrived});
   if (!served || this->log.WantsServed(now)) {
     telemetry::LogLine line("entry", "finished");
     line.Add("request", call.request_id)
--- a/src/boragepaddle/proxy/entry.h
+++ b/src/boragepaddle/proxy/entry.h
@@ -21,6 +21,7 @@
 #include "boragepaddle/routing/target_split.h"
 #include "boragepaddle/routing/worker_choice.h"
 #include "boragepaddle/telemetry/event_log.h"
+#include "boragepaddle/telemetry/request_metrics.h"
 
 namespace boragepaddle::proxy {
 
@@ -57,7 +58,8 @@
         const StoreState& store,
         WorkerSide& local,
         PeerNetwork& peers,
-        telemetry::EventLog& log);
+        telemetry::EventLog& log,
+        telemetry::RequestMetrics& metrics);
 
   /// A client's request was read whole.
   void OnRequest(const std::shared_ptr<event::HttpExchange>& exchange);
@@ -117,6 +119,7 @@
   WorkerSide& local;
   PeerNetwork& peers;
   telemetry::EventLog& log;
+  telemetry::RequestMetrics& metrics;
   std::mt19937_64 random;
   uint64_t next_id = 1;
   absl::flat_hash_map<uint64_t, std::unique_ptr<EntryCall>> calls;
--- a/src/boragepaddle/proxy/node_settings.h
+++ b/src/boragepaddle/proxy/node_settings.h
@@ -22,6 +22,8 @@
   std::string ready_address;
   std::string worker_address;
   std::string store_address;
+  /// Port that serves `/metrics`; the deploy file names the same one.
+  uint16_t metrics_port = 9464;
   /// Port for other nodes; the same on all VMs.
   uint16_t peer_port = 0;
 
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -45,6 +45,8 @@
 /// Before the end of the grace period everything is closed.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(300);
 
+constexpr char kMetricsPath[] = "/metrics";
+
 absl::string_view KindName(StoreChange::Kind kind) {
   switch (kind) {
     case StoreChange::Kind::kConfigAccepted:
@@ -92,7 +94,8 @@
                   this->parts.http,
                   this->store,
                   this->workers,
-                  log),
+                  log,
+                  this->metrics),
       peers(loop, this->MakePeerEvents()),
       entry(loop,
             this->settings,
@@ -100,7 +103,8 @@
             this->store,
             this->worker_side,
             this->peers,
-            log),
+            log,
+            this->metrics),
       callers(loop,
               [this](const std::shared_ptr<event::HttpExchange>& exchange) {
                 this->entry.OnRequest(exchange);
@@ -109,6 +113,10 @@
              [this](const std::shared_ptr<event::HttpExchange>& exchange) {
                this->OnReadyProbe(exchange);
              }),
+      operators(loop,
+                [this](const std::shared_ptr<event::HttpExchange>& exchange) {
+                  this->OnMetricsRequest(exchange);
+                }),
       config_watch(loop,
                    *this->parts.config_source,
                    this->parts.store.config_prefix,
@@ -148,6 +156,9 @@
       !this->Listen(this->probes, this->settings.ready_address)) {
     return false;
   }
+  // A node without metrics still serves.
+  this->Listen(this->operators, absl::StrCat(this->settings.host, ":",
+                                             this->settings.metrics_port));
   this->workers.SetWorker(*worker);
   this->config_watch.Start();
   this->worker_watch.Start();
@@ -346,6 +357,33 @@
   exchange->Reply(std::move(reply));
 }
 
+void ProxyNode::OnMetricsRequest(
+    const std::shared_ptr<event::HttpExchange>& exchange) {
+  event::HttpReply reply;
+  if (exchange->request().target != kMetricsPath) {
+    reply.status = 404;
+    exchange->Reply(std::move(reply));
+    return;
+  }
+  const schema::GateLoad load = this->worker_side.Notice().load;
+  this->metrics.SetGauge("worker_running", load.running);
+  this->metrics.SetGauge("worker_queued", load.queued);
+  this->metrics.SetGauge("worker_limit", load.limit);
+  this->metrics.SetGauge("worker_grant", load.grant / 1000.0);
+  this->metrics.SetGauge("entry_in_flight",
+                         static_cast<double>(this->entry.in_flight()));
+  this->metrics.SetGauge(
+      "config_revision",
+      this->store.routes == nullptr
+          ? 0
+          : static_cast<double>(this->store.routes->revision));
+  this->metrics.SetGauge("ready", this->IsReady() ? 1 : 0);
+  reply.status = 200;
+  reply.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  reply.body = this->metrics.ToText();
+  exchange->Reply(std::move(reply));
+}
+
 void ProxyNode::ScheduleTick() {
   this->timer.expires_after(absl::ToChronoNanoseconds(kTick));
   this->timer.async_wait([this](const boost::system::error_code& error) {
@@ -370,6 +408,7 @@
     this->last_slow_tick = now;
     this->callers.Tick(now);
     this->probes.Tick(now);
+    this->operators.Tick(now);
     this->workers.Tick(now);
     this->peers.Tick(now);
     this->AskForCopy();
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -21,6 +21,7 @@
 #include "boragepaddle/proxy/store_state.h"
 #include "boragepaddle/proxy/worker_side.h"
 #include "boragepaddle/telemetry/event_log.h"
+#include "boragepaddle/telemetry/request_metrics.h"
 
 namespace boragepaddle::proxy {
 
@@ -66,6 +67,7 @@
                     const schema::HttpCancel& cancel);
   void OnChannelClosed(const event::PeerChannelPtr& channel);
   void OnReadyProbe(const std::shared_ptr<event::HttpExchange>& exchange);
+  void OnMetricsRequest(const std::shared_ptr<event::HttpExchange>& exchange);
   void ApplyChanges(const std::vector<schema::KeyValue>& items);
   void OnStateChanged();
   schema::PeerHello MakeHello() const;
@@ -86,12 +88,14 @@
   telemetry::EventLog& log;
   const uint64_t incarnation;
   StoreState store;
+  telemetry::RequestMetrics metrics;
   event::WorkerPool workers;
   WorkerSide worker_side;
   PeerNetwork peers;
   Entry entry;
   event::HttpServer callers;
   event::HttpServer probes;
+  event::HttpServer operators;
   event::SourceWatch config_watch;
   event::SourceWatch worker_watch;
   boost::asio::steady_timer timer;
--- a/src/boragepaddle/proxy/worker_side.cc
+++ b/src/boragepaddle/proxy/worker_side.cc
@@ -61,12 +61,14 @@
                        const HttpDialect& dialect,
                        const StoreState& store,
                        event::WorkerPool& pool,
-                       telemetry::EventLog& log)
+                       telemetry::EventLog& log,
+                       telemetry::RequestMetrics& metrics)
     : settings(settings),
       dialect(dialect),
       store(store),
       pool(pool),
       log(log),
+      metrics(metrics),
       gate(admission::MakeWorkerGate(admission::GateSettings())) {
   this->OnDirectory();
 }
@@ -295,6 +297,9 @@
   const bool served = answer.outcome == Outcome::kCompleted &&
                       answer.status < kFirstFailureStatus;
   const absl::Time now = event::BootNow();
+  this->metrics.Record({"worker", call.message.service, call.message.priority,
+                        schema::ToString(answer.outcome),
+                        schema::ToString(answer.reason), now - call.arrived});
   if (served && !this->log.WantsServed(now)) {
     return;
   }
--- a/src/boragepaddle/proxy/worker_side.h
+++ b/src/boragepaddle/proxy/worker_side.h
@@ -20,6 +20,7 @@
 #include "boragepaddle/proxy/store_state.h"
 #include "boragepaddle/schema/messages.h"
 #include "boragepaddle/telemetry/event_log.h"
+#include "boragepaddle/telemetry/request_metrics.h"
 
 namespace boragepaddle::proxy {
 
@@ -41,7 +42,8 @@
              const HttpDialect& dialect,
              const StoreState& store,
              event::WorkerPool& pool,
-             telemetry::EventLog& log);
+             telemetry::EventLog& log,
+             telemetry::RequestMetrics& metrics);
 
   /// Returns an id for Cancel. The reply may come before this returns.
   uint64_t Handle(schema::HttpCall call, Reply reply);
@@ -114,6 +116,7 @@
   const StoreState& store;
   event::WorkerPool& pool;
   telemetry::EventLog& log;
+  telemetry::RequestMetrics& metrics;
   admission::WorkerGate gate;
   admission::Grant grant;
   admission::GrantInput grant_input;
--- a/src/boragepaddle/routing/root_gate.h
+++ b/src/boragepaddle/routing/root_gate.h
@@ -40,7 +40,7 @@
   /// Reports count for this long.
   absl::Duration report_life = absl::Seconds(1);
   /// Factor for workers without a report.
-  double default_grant = 1.0;
+  double default_grant = 1.35;
 };
 
 /// What requests of a route use.
--- a/src/boragepaddle/telemetry/request_metrics.cc
+++ b/src/boragepaddle/telemetry/request_metrics.cc
@@ -40,10 +40,9 @@
         absl::StrCat("side=\"", side, "\",service=\"", service,
                      "\",priority=\"", priority, "\"");
     for (const double quantile : kQuantiles) {
-      absl::StrAppend(&text, kPrefix, "latency_seconds{", labels,
-                      ",quantile=\"", quantile, "\"} ",
-                      absl::ToDoubleSeconds(histogram.Quantile(quantile)),
-                      "\n");
+      absl::StrAppend(
+          &text, kPrefix, "latency_seconds{", labels, ",quantile=\"", quantile,
+          "\"} ", absl::ToDoubleSeconds(histogram.Quantile(quantile)), "\n");
     }
     absl::StrAppend(&text, kPrefix, "latency_seconds_sum{", labels, "} ",
                     absl::ToDoubleSeconds(histogram.sum()), "\n", kPrefix,
