--- /dev/null
+++ b/tests/integration/platform_path_test.py
@@ -0,0 +1,215 @@
+"""The path of the users' platform with real nodes, a store and workers as stand-ins."""
+
+import http.client
+import os
+import signal
+import tempfile
+import threading
+import time
+import unittest
+import uuid
+
+from mesh.platform_standins import Store, Worker, config
+from mesh.process import Process
+from mesh.wait import wait_until
+
+PEER_PORT = 17620
+READ = {"name": "read", "authority": "a.example", "prefix": "/read/", "route_type": "idempotent",
+        "timeout_s": 3, "target_latency_s": 1, "priority": 1, "max_attempts": 2, "service": "s1"}
+WRITE = {"name": "write", "authority": "a.example", "prefix": "/write/",
+         "route_type": "non_idempotent", "timeout_s": 3, "target_latency_s": 1, "priority": 0,
+         "max_attempts": 1, "service": "s1"}
+
+
+class Node:
+    """One sidecar process on its own loopback address."""
+
+    def __init__(self, index, folder, store, worker):
+        self.host = worker.host
+        self.worker = worker
+        self.caller = (self.host, 18304)
+        self.ready = (self.host, 18302)
+        self.folder = folder
+        self.name = "node%d" % index
+        self.settings = os.path.join(folder, self.name + ".conf")
+        with open(self.settings, "w", encoding="utf-8") as out:
+            out.write("\n".join([
+                "node_id=%s" % self.name, "ip=%s" % self.host, "zone=z", "service=%s" % worker.service,
+                "listen_addrs.outbound=%s:18304" % self.host, "listen_addrs.ready=%s:18302" % self.host,
+                "app_addr=%s" % worker.address, "platform.address=%s" % store.address,
+                "internal_port_range=%d,17635" % PEER_PORT, "limits.memory_mb=260",
+                "limits.max_fds=4100",
+                "bounds=grace_s=6,retry_budget_ratio=0.2,budget_window_s=10,budget_slack=47", ""]))
+        self.process = None
+
+    def start(self):
+        binary = os.path.join(os.environ["BORAGEPADDLE_BUILD"], "boragepaddle_sidecar")
+        self.process = Process(self.name, [binary, "--settings=" + self.settings], self.folder)
+
+    def is_ready(self):
+        try:
+            return self.get(self.ready, "/boragepaddle/ready", "x")[0] == 200
+        except OSError:
+            return False
+
+    def get(self, address, path, host, method="GET", attempt=None, timeout=5):
+        connection = http.client.HTTPConnection(*address, timeout=timeout)
+        try:
+            connection.request(method, path, body=b"body" if method == "POST" else None, headers={
+                "Host": host, "Attempt-Id": attempt or uuid.uuid4().hex, "Deadline-Ms": "3000",
+                "Caller-Service": "forged"})
+            answer = connection.getresponse()
+            return answer.status, answer.read().decode(), answer.headers
+        finally:
+            connection.close()
+
+    def call(self, path, method="GET", attempt=None):
+        return self.get(self.caller, path, "a.example", method, attempt)
+
+    def kill(self, with_signal=signal.SIGKILL):
+        self.process.popen.send_signal(with_signal)
+        self.process.popen.wait(10)
+
+
+class PlatformPathTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.store = Store("127.0.0.1")
+        self.workers = [Worker("127.0.1.%d" % (index + 1), "s1" if index < 2 else "s2",
+                               "i-%d" % index) for index in range(3)]
+        self.nodes = [Node(index, self.folder.name, self.store, worker)
+                      for index, worker in enumerate(self.workers)]
+        for node in self.nodes:
+            node.start()
+            self.addCleanup(lambda node=node: node.process.is_running() and node.kill())
+
+    def serve(self):
+        for worker in self.workers:
+            self.store.put("servers/" + worker.instance, worker.entry())
+        self.store.put("op/config", config(1, [READ, WRITE]))
+        for node in self.nodes:
+            wait_until(node.is_ready, 10, "readiness of " + node.name)
+
+    def runs(self, attempt):
+        return [run for worker in self.workers for run in worker.runs if run[0] == attempt]
+
+    def test_requests_are_served_whole_by_every_node(self):
+        wait_until(lambda: self.store.server and self.refused_without_config(), 10, "a listening node")
+        self.serve()
+        for node in self.nodes:
+            attempt = uuid.uuid4().hex
+            status, body, headers = node.call("/write/x?q=1", "POST", attempt)
+            self.assertEqual(status, 200)
+            self.assertTrue(body.endswith(attempt + "body"), body)
+            self.assertEqual(headers["Response-Stamp"], "stamp-" + attempt)
+            self.assertEqual([run[1:4] for run in self.runs(attempt)],
+                             [("POST", "/write/x?q=1", node.worker.service)])
+            self.assertEqual(node.call("/none/")[0], 404)
+        status, text, _ = self.nodes[0].get(("127.0.1.1", 9464), "/metrics", "x")
+        self.assertEqual(status, 200)
+        self.assertIn("boragepaddle_requests_total{side=\"entry\"", text)
+
+    def refused_without_config(self):
+        try:
+            return self.nodes[0].call("/read/x")[0] == 503
+        except OSError:
+            return False
+
+    def test_a_change_is_in_force_on_every_node_and_survives_an_outage(self):
+        self.serve()
+        self.store.put("op/config", config(2, [dict(READ, service="s2"), WRITE]))
+        for node in self.nodes:
+            wait_until(lambda node=node: "i-2:" in node.call("/read/x")[1], 2, "the new route")
+        self.store.compact()
+        self.store.put("op/config", config(3, [WRITE]))
+        for node in self.nodes:
+            wait_until(lambda node=node: node.call("/read/x")[0] == 404, 2, "the dropped route")
+        self.store.set_down(True)
+        time.sleep(0.3)
+        for node in self.nodes:
+            self.assertEqual(node.call("/write/x", "POST")[0], 200)
+            self.assertTrue(node.is_ready())
+        self.store.set_down(False)
+        self.store.put("op/config", config(4, [READ, WRITE]))
+        for node in self.nodes:
+            wait_until(lambda node=node: node.call("/read/x")[0] == 200, 3, "the route again")
+
+    def test_a_leaving_worker_gets_no_new_work(self):
+        self.serve()
+        self.store.put("servers/i-0", self.workers[0].entry("draining"))
+        time.sleep(0.5)
+        before = len(self.workers[0].runs)
+        for _ in range(20):
+            for node in self.nodes:
+                self.assertEqual(node.call("/read/x")[0], 200)
+        self.assertEqual(len(self.workers[0].runs), before)
+
+    def test_an_address_of_another_instance_runs_nothing(self):
+        self.serve()
+        # The list still names the old instance.
+        self.workers[0].instance = "i-new"
+        before = len(self.workers[0].runs)
+        for _ in range(10):
+            for node in self.nodes:
+                attempt = uuid.uuid4().hex
+                status = node.call("/write/x", "POST", attempt)[0]
+                self.assertIn(status, (200, 503))
+                self.assertEqual(len(self.runs(attempt)), 1 if status == 200 else 0)
+        self.assertEqual(len(self.workers[0].runs), before)
+
+    def load(self, seconds, results):
+        end = time.monotonic() + seconds
+
+        def client(node):
+            while time.monotonic() < end:
+                attempt = uuid.uuid4().hex
+                try:
+                    status = node.call("/write/x", "POST", attempt)[0]
+                except (OSError, http.client.HTTPException):
+                    status = 0
+                results.append((node.name, attempt, status))
+
+        threads = [threading.Thread(target=client, args=(node,)) for node in self.nodes * 4]
+        for thread in threads:
+            thread.start()
+        return threads
+
+    def check_promises(self, results):
+        for _, attempt, status in results:
+            runs = len(self.runs(attempt))
+            self.assertLessEqual(runs, 1, attempt)
+            if status == 200:
+                self.assertEqual(runs, 1, attempt)
+            if status in (429, 503):
+                self.assertEqual(runs, 0, attempt)
+
+    def test_a_killed_node_costs_only_what_it_held(self):
+        self.serve()
+        results = []
+        threads = self.load(3, results)
+        time.sleep(1)
+        self.nodes[0].kill()
+        self.nodes[0].start()
+        for thread in threads:
+            thread.join()
+        self.check_promises(results)
+        others = [status for name, _, status in results if name != "node0"]
+        self.assertGreater(len([status for status in others if status == 200]), len(others) * 0.9)
+        wait_until(self.nodes[0].is_ready, 5, "readiness after the restart")
+
+    def test_a_planned_stop_ends_no_request_that_was_read(self):
+        self.serve()
+        results = []
+        threads = self.load(2, results)
+        time.sleep(0.5)
+        self.nodes[1].process.popen.send_signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        self.check_promises(results)
+        self.assertEqual([entry for entry in results if entry[2] not in (200, 503)], [])
+        self.assertEqual(self.nodes[1].process.popen.wait(7), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/mesh/platform_standins.py
@@ -0,0 +1,191 @@
+"""Stand-ins of the users' platform: its metadata store and its workers."""
+
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+
+ROUTE_COLUMNS = ["name", "authority", "prefix", "route_type", "timeout_s",
+                 "target_latency_s", "priority", "traffic_split",
+                 "max_attempts", "service"]
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, request, client_address):
+        """Clients that leave, as a killed node does, are no fault here."""
+
+
+class Store:
+    """Revisioned keys with range reads and watches. Can be taken away."""
+
+    def __init__(self, host):
+        self.condition = threading.Condition()
+        self.revision = 1
+        self.items = {}
+        self.events = []
+        self.compacted = 0
+        self.down = False
+        store = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_GET(self):
+                store.answer(self)
+
+        self.server = _Server((host, 0), Handler)
+        self.address = "%s:%d" % self.server.server_address
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def put(self, key, document):
+        with self.condition:
+            self.revision += 1
+            item = {"key": key, "revision": self.revision,
+                    "create_revision": self.revision, "lease": 0,
+                    "value": base64.b64encode(json.dumps(document).encode()).decode()}
+            self.items[key] = item
+            self.events.append(item)
+            self.condition.notify_all()
+
+    def remove(self, key):
+        with self.condition:
+            self.revision += 1
+            del self.items[key]
+            self.events.append({"key": key, "revision": self.revision, "removed": True})
+            self.condition.notify_all()
+
+    def compact(self):
+        """Forgets the history; watches that wait are cut."""
+        with self.condition:
+            self.compacted = self.revision
+            self.events = []
+            self.condition.notify_all()
+
+    def set_down(self, down):
+        with self.condition:
+            self.down = down
+            self.condition.notify_all()
+
+    def answer(self, handler):
+        url = urllib.parse.urlsplit(handler.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if self.down:
+            return self._send(handler, 503, {})
+        if url.path == "/boragepaddle/kv-range":
+            return self._range(handler, query)
+        if url.path == "/boragepaddle/kv-watch":
+            return self._watch(handler, query)
+        return self._send(handler, 404, {})
+
+    def _range(self, handler, query):
+        with self.condition:
+            items = [item for key, item in sorted(self.items.items())
+                     if key.startswith(query["prefix"]) and key > query.get("after", "")]
+            # Short pages, so that paging is always exercised.
+            page = {"items": items[:3], "truncated": len(items) > 3, "as_of": self.revision}
+        self._send(handler, 200, page)
+
+    def _watch(self, handler, query):
+        after = int(query["after"])
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        with self.condition:
+            while True:
+                if self.down:
+                    status, body = 503, {}
+                    break
+                if after < self.compacted:
+                    status, body = 410, {}
+                    break
+                events = [event for event in self.events
+                          if event["revision"] > after and event["key"].startswith(query["prefix"])]
+                left = end - time.monotonic()
+                if events or left <= 0:
+                    status, body = 200, {"events": events, "as_of": self.revision}
+                    break
+                self.condition.wait(left)
+        self._send(handler, status, body)
+
+    @staticmethod
+    def _send(handler, status, body):
+        data = json.dumps(body).encode()
+        handler.send_response(status)
+        handler.send_header("Content-Length", str(len(data)))
+        handler.end_headers()
+        handler.wfile.write(data)
+
+
+class Worker:
+    """Runs requests and keeps a journal of them."""
+
+    def __init__(self, host, service, instance, work_s=0.02, port=0):
+        self.host = host
+        self.service = service
+        self.instance = instance
+        self.work_s = work_s
+        self.lock = threading.Lock()
+        self.runs = []
+        worker = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def handle_any(self):
+                worker.answer(self)
+
+            do_GET = do_POST = handle_any
+
+        self.server = _Server((host, port), Handler)
+        self.address = "%s:%d" % self.server.server_address
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def entry(self, state="ready"):
+        return {"service": self.service, "address": self.address, "zone": "z", "version": "v1",
+                "slots": 8, "state": state, "cold_remaining_s": 0, "sequence": 1, "born": 1}
+
+    def answer(self, handler):
+        body = handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
+        attempt = handler.headers["Attempt-Id"]
+        if handler.headers["Expected-Instance"] != self.instance:
+            return self._send(handler, 421, attempt, b"", {"Not-Executed": "1"})
+        with self.lock:
+            self.runs.append((attempt, handler.command, handler.path,
+                              handler.headers["Caller-Service"], body))
+        time.sleep(self.work_s)
+        self._send(handler, 200, attempt, ("%s:%s" % (self.instance, attempt)).encode() + body, {})
+
+    @staticmethod
+    def _send(handler, status, attempt, body, headers):
+        handler.send_response(status)
+        handler.send_header("Attempt-Id", attempt)
+        handler.send_header("Response-Stamp", "stamp-" + attempt)
+        handler.send_header("Content-Length", str(len(body)))
+        for name, value in headers.items():
+            handler.send_header(name, value)
+        handler.end_headers()
+        handler.wfile.write(body)
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+def config(version, routes):
+    """Operators' configuration; each route is a dict by column."""
+    return {"version": "%08x" % version,
+            "routes": {"columns": ROUTE_COLUMNS,
+                       "rows": [[route.get(column) for column in ROUTE_COLUMNS] for route in routes]},
+            "services": {"columns": ["name", "health_path", "max_connections"],
+                         "rows": [["s1", "/health", 100], ["s2", "/health", 100]]},
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
+                       "header_timeout_s": 3, "idle_timeout_s": 15}}
