--- a/src/boragepaddle/proxy/entry.cc
+++ b/src/boragepaddle/proxy/entry.cc
@@ -134,7 +134,7 @@
     return true;
   }
   call.last_reason = Reason::kRefusedBelow;
-  call.instance = full;
+  call.held_back_by = full;
   return false;
 }
 
@@ -580,6 +580,7 @@
         .Add("nested", call.nested)
         .Add("config", call.routes->version)
         .Add("instance", call.instance)
+        .Add("held_back_by", call.held_back_by)
         .Add("tried", call.tried.size())
         .Add("offers", call.offers)
         .Add("ms", absl::ToInt64Milliseconds(now - call.arrived));
--- a/src/boragepaddle/proxy/entry_call.h
+++ b/src/boragepaddle/proxy/entry_call.h
@@ -48,6 +48,8 @@
   /// While no worker has room: when to look again, and until when.
   absl::Time look_again = absl::InfiniteFuture();
   absl::Time park_until = absl::InfinitePast();
+  /// Service that had no room for the root request, if it was held back.
+  std::string held_back_by;
   /// An attempt may have run without an answer.
   bool may_have_run = false;
   schema::Reason last_reason = schema::Reason::kNoUpstream;
