--- a/src/boragepaddle/event/http_server.cc
+++ b/src/boragepaddle/event/http_server.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "boragepaddle/event/open_listener.h"
 #include "boragepaddle/event/server_connection.h"
 
 namespace boragepaddle::event {
@@ -21,17 +22,7 @@
 HttpServer::~HttpServer() = default;
 
 boost::system::error_code HttpServer::Listen(const Tcp::endpoint& endpoint) {
-  boost::system::error_code error;
-  this->acceptor.open(endpoint.protocol(), error);
-  if (error) {
-    return error;
-  }
-  this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  this->acceptor.bind(endpoint, error);
-  if (error) {
-    return error;
-  }
-  this->acceptor.listen(kListenBacklog, error);
+  const auto error = OpenListener(this->acceptor, endpoint, kListenBacklog);
   if (!error) {
     this->Accept();
   }
--- /dev/null
+++ b/src/boragepaddle/proxy/entry_finish.cc
@@ -0,0 +1,157 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_format.h"
+#include "boragepaddle/event/clock.h"
+#include "boragepaddle/proxy/entry.h"
+
+// How requests end at their entry: delivered, refused, given up or abandoned.
+
+namespace boragepaddle::proxy {
+
+namespace {
+
+using schema::Reason;
+
+/// Randomizes waits, so that refused clients do not come back together.
+constexpr double kRetryAfterSpread = 0.5;
+
+}  // namespace
+
+bool Entry::IsWaiting(const event::PeerChannelPtr& channel) const {
+  return this->waiting.contains(channel->number);
+}
+
+void Entry::CancelAttempt(EntryCall& call) {
+  if (!call.attempt_pending) {
+    return;
+  }
+  routing::OnCallLost(this->loads, call.instance);
+  if (call.channel != nullptr) {
+    call.channel->Send(schema::HttpCancel{call.id});
+  } else {
+    this->local.Cancel(call.local_id);
+  }
+  this->ForgetAttempt(call);
+}
+
+void Entry::OnAbandoned(uint64_t id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  EntryCall& call = *found->second;
+  this->CancelAttempt(call);
+  this->Finish(call, event::HttpReply{}, "client_left");
+}
+
+void Entry::GiveUp(EntryCall& call) {
+  const bool pending = call.attempt_pending;
+  this->CancelAttempt(call);
+  if (pending || call.may_have_run) {
+    call.last_reason = Reason::kTimeout;
+    this->FailUnknown(call, 504);
+    return;
+  }
+  call.last_reason = Reason::kDeadline;
+  this->RefuseNotRun(call);
+}
+
+void Entry::Tick(absl::Time now) {
+  std::vector<uint64_t> over;
+  std::vector<uint64_t> parked;
+  for (const auto& [id, call] : this->calls) {
+    if (now >= call->give_up_at) {
+      over.push_back(id);
+    } else if (now >= call->look_again) {
+      parked.push_back(id);
+    }
+  }
+  for (const uint64_t id : parked) {
+    EntryCall& call = *this->calls.at(id);
+    call.look_again = absl::InfiniteFuture();
+    call.moves = 0;
+    call.tried.clear();
+    this->Attempt(call);
+  }
+  for (const uint64_t id : over) {
+    this->GiveUp(*this->calls.at(id));
+  }
+}
+
+void Entry::Deliver(EntryCall& call, schema::HttpAnswer& answer) {
+  event::HttpReply reply;
+  reply.status = answer.status;
+  reply.fields = std::move(answer.fields);
+  reply.body = std::move(answer.body);
+  this->Finish(call, std::move(reply), "completed");
+}
+
+absl::Duration Entry::RetryAfter(const EntryCall& call) {
+  const absl::Duration base =
+      std::clamp(call.retry_after, this->bounds.min_retry_after,
+                 this->bounds.max_retry_after);
+  std::uniform_real_distribution<double> spread(1, 1 + kRetryAfterSpread);
+  return base * spread(this->random);
+}
+
+void Entry::RefuseNotRun(EntryCall& call) {
+  event::HttpReply reply;
+  reply.status = 503;
+  reply.fields.push_back(
+      {this->dialect.retry_after,
+       absl::StrFormat("%.3f", absl::ToDoubleSeconds(this->RetryAfter(call)))});
+  this->Finish(call, std::move(reply), "not_run");
+}
+
+void Entry::FailUnknown(EntryCall& call, uint32_t status) {
+  event::HttpReply reply;
+  reply.status = status;
+  this->Finish(call, std::move(reply), "unknown");
+}
+
+void Entry::Finish(EntryCall& call,
+                   event::HttpReply reply,
+                   absl::string_view how) {
+  const absl::Time now = event::BootNow();
+  const bool served = reply.status >= 200 && reply.status < 500;
+  this->metrics.Record({"entry", call.service, call.priority, how,
+                        schema::ToString(call.last_reason),
+                        now - call.arrived});
+  if (!served || this->log.WantsServed(now)) {
+    telemetry::LogLine line("entry", "finished");
+    line.Add("request", call.request_id)
+        .Add("how", how)
+        .Add("status", reply.status)
+        .Add("reason", schema::ToString(call.last_reason))
+        .Add("route", call.route->name)
+        .Add("service", call.service)
+        .Add("priority", call.priority)
+        .Add("nested", call.nested)
+        .Add("config", call.routes->version)
+        .Add("instance", call.instance)
+        .Add("held_back_by", call.held_back_by)
+        .Add("tried", call.tried.size())
+        .Add("offers", call.offers)
+        .Add("ms", absl::ToInt64Milliseconds(now - call.arrived));
+    if (served) {
+      this->log.Served(line);
+    } else {
+      this->log.Failed(line, now);
+    }
+  }
+  if (call.admitted) {
+    routing::OnRootEnded(this->root_gate, call.route->name);
+  }
+  if (call.nested && (reply.status < 200 || reply.status >= 300)) {
+    this->local.NoteNestedFailure(call.parent_id);
+  }
+  const auto exchange = call.exchange;
+  this->calls.erase(call.id);
+  if (reply.status != 0) {
+    exchange->Reply(std::move(reply));
+  }
+}
+
+}  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/peer_network.cc
+++ b/src/boragepaddle/proxy/peer_network.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "boragepaddle/event/open_listener.h"
 
 namespace boragepaddle::proxy {
 
@@ -23,17 +24,8 @@
 
 boost::system::error_code PeerNetwork::Listen(
     const event::Tcp::endpoint& endpoint) {
-  boost::system::error_code error;
-  this->acceptor.open(endpoint.protocol(), error);
-  if (error) {
-    return error;
-  }
-  this->acceptor.set_option(event::Tcp::acceptor::reuse_address(true), error);
-  this->acceptor.bind(endpoint, error);
-  if (error) {
-    return error;
-  }
-  this->acceptor.listen(kListenBacklog, error);
+  const auto error =
+      event::OpenListener(this->acceptor, endpoint, kListenBacklog);
   if (!error) {
     this->Accept();
   }
