--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -36,8 +36,8 @@
 /// from two readiness probes a second apart.
 constexpr absl::Duration kKeepAccepting = absl::Milliseconds(2600);
 
-/// Before the end of the grace period no more calls of other nodes are taken.
-constexpr absl::Duration kLastCalls = absl::Milliseconds(1500);
+/// Time after SIGTERM in which calls of other nodes are still taken.
+constexpr absl::Duration kKeepTaking = absl::Milliseconds(2500);
 
 /// Time in which a node that starts reads the store by itself.
 constexpr absl::Duration kReadTime = absl::Milliseconds(300);
@@ -497,29 +497,24 @@
   this->peers.Broadcast(this->worker_side.Notice());
 }
 
-// The worker's own calls come through this node, so the listener stays open as
-// long as the worker runs anything.
 void ProxyNode::TickStopping(absl::Time now) {
   const absl::Duration elapsed = now - this->stopping_since;
+  if (elapsed > kKeepTaking) {
+    this->worker_side.StopTaking();
+  }
   if (elapsed < kKeepAccepting) {
     return;
   }
-  const absl::Duration left = this->settings.stop_grace - elapsed;
-  const bool idle = this->entry.in_flight() == 0 &&
-                    this->worker_side.in_flight() == 0 &&
-                    this->callers.Busy() == 0;
-  if (idle || left < kLastCalls) {
-    this->worker_side.StopTaking();
-  }
-  const bool was_closed = this->listener_closed;
-  if (idle && !was_closed) {
+  if (!this->listener_closed) {
     this->listener_closed = true;
     this->callers.StopListening();
   }
-  // One more tick, for a request that was read meanwhile.
-  if ((idle && was_closed) || left < kStopMargin) {
+  const bool drained = this->entry.in_flight() == 0 &&
+                       this->worker_side.in_flight() == 0 &&
+                       this->callers.Busy() == 0;
+  if (drained || elapsed > this->settings.stop_grace - kStopMargin) {
     this->log.State(LogLine("node", "stopped")
-                        .Add("drained", idle)
+                        .Add("drained", drained)
                         .Add("entry_calls", this->entry.in_flight())
                         .Add("worker_calls", this->worker_side.in_flight()));
     this->loop.stop();
