Open classes one after another after a shed call

Classes now open in steps of 100 ms, and a fresh report of an upstream that admits the class opens the entry's gate.

--- a/src/boragepaddle/admission/admission.cc
+++ b/src/boragepaddle/admission/admission.cc
@@ -41,11 +41,33 @@
   Shed(state, class_index, call, reason, actions);
 }
 
-/// Most important class that was shed within the hold time; all classes if
-/// none was.
-size_t RefusedClass(const AdmissionState& state, absl::Time now) {
+/// True if the class is closed because a class was shed. Each class further
+/// below opens one step later: if all opened at once, an entry that still holds
+/// the more important one would see the less important admitted.
+bool IsClosed(const AdmissionState& state,
+              size_t class_index,
+              size_t shed,
+              absl::Time now) {
+  const AdmissionSettings& settings = state.settings;
+  const auto steps = static_cast<int64_t>(class_index - shed);
+  return now - state.shed_at[shed] <
+         settings.refusal_hold + steps * settings.reopen_step;
+}
+
+/// True if a more important class was shed a short time ago.
+bool IsHeld(const AdmissionState& state, size_t class_index, absl::Time now) {
+  for (size_t shed = 0; shed < class_index; ++shed) {
+    if (IsClosed(state, class_index, shed, now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Most important class that is closed; all classes if none is.
+size_t FirstClosedClass(const AdmissionState& state, absl::Time now) {
   for (size_t index = 0; index < kCallClassCount; ++index) {
-    if (now < state.shed_at[index] + state.settings.refusal_hold) {
+    if (IsHeld(state, index, now) || IsClosed(state, index, index, now)) {
       return index;
     }
   }
@@ -343,10 +365,9 @@
     return {ShedCall{call.id, Reason::kDeadline}};
   }
   const size_t index = Index(call.call_class);
-  const size_t refused = RefusedClass(state, now);
   const bool nested_was_shed =
       now < state.nested_shed_at[index] + state.settings.refusal_hold;
-  if (index > refused || (call.depth == 0 && nested_was_shed)) {
+  if (IsHeld(state, index, now) || (call.depth == 0 && nested_was_shed)) {
     state.shed_at[index] = now;
     return {ShedCall{call.id, Reason::kOverloaded}};
   }
@@ -415,7 +436,7 @@
   }
   const bool full = state.running.size() >= limit &&
                     QueuedCalls(state) >= state.settings.max_queue;
-  size_t level = RefusedClass(state, now);
+  size_t level = FirstClosedClass(state, now);
   if (full) {
     level = std::min(level, LeastQueuedClass(state).value_or(kCallClassCount));
   }
--- a/src/boragepaddle/admission/admission.h
+++ b/src/boragepaddle/admission/admission.h
@@ -33,6 +33,9 @@
   /// shorter than routing::kGateMemory: an entry node may refuse the class by
   /// itself for that long, and then this node does not see those calls.
   absl::Duration refusal_hold = absl::Milliseconds(300);
+  /// Time between the opening of a class and of the next less important one:
+  /// longer than entry nodes take to learn of the first from other answers.
+  absl::Duration reopen_step = absl::Milliseconds(100);
   QueueOrder order = QueueOrder::kAdaptive;
   /// Running idempotent calls may be cancelled for more important ones.
   bool worker_accepts_cancel = false;
--- a/src/boragepaddle/node/egress.cc
+++ b/src/boragepaddle/node/egress.cc
@@ -172,10 +172,13 @@
                  schema::CallClass call_class,
                  absl::Time now,
                  uint64_t random) {
-  return LetPass(service.gate, call_class, now,
-                 routing::DeriveBits(random, 1)) &&
-         LetPass(service.operations[operation].below, call_class, now,
-                 routing::DeriveBits(random, 2));
+  // A recent report of an upstream that admits the class is newer than the
+  // refusals that the gate remembers.
+  const bool admitted =
+      AnyAdmits(service.routes, call_class, now) ||
+      LetPass(service.gate, call_class, now, routing::DeriveBits(random, 1));
+  return admitted && LetPass(service.operations[operation].below, call_class,
+                             now, routing::DeriveBits(random, 2));
 }
 
 EgressAction BeginCall(EgressCall& call,
--- a/src/boragepaddle/routing/route_table.cc
+++ b/src/boragepaddle/routing/route_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/algorithm/container.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "boragepaddle/routing/random_bits.h"
@@ -305,6 +306,15 @@
   }
 }
 
+bool AnyAdmits(const RouteTable& table,
+               schema::CallClass call_class,
+               absl::Time now) {
+  return absl::c_any_of(table.upstreams, [&](const Upstream& upstream) {
+    return upstream.chosen && !upstream.leaving &&
+           AdmitsClass(upstream, call_class, now);
+  });
+}
+
 void OnAttemptLost(RouteTable& table, absl::string_view vm_id, absl::Time now) {
   Upstream* upstream = Find(table, vm_id);
   if (upstream == nullptr) {
--- a/src/boragepaddle/routing/route_table.h
+++ b/src/boragepaddle/routing/route_table.h
@@ -75,6 +75,11 @@
               absl::Time sent_at,
               absl::Time now);
 
+/// True if an upstream said recently that it admits the class.
+bool AnyAdmits(const RouteTable& table,
+               schema::CallClass call_class,
+               absl::Time now);
+
 /// Records the end of an attempt without an answer.
 void OnAttemptLost(RouteTable& table, absl::string_view vm_id, absl::Time now);
 
--- a/tests/unit/egress_test.cc
+++ b/tests/unit/egress_test.cc
@@ -215,6 +215,22 @@
   CHECK(PassesGates(scene.service, "check", CallClass::kMember, At(2), 1));
 }
 
+// Guards against an entry that refuses a class from memory while an upstream
+// admits it, and with it less important work of other entries.
+TEST_CASE("egress: a fresh report of room opens the gate of the service") {
+  Scene scene;
+  scene.NewCall(CallClass::kStandard);
+  SentTo(scene.Begin(0));
+  auto answer = MakeAnswer(Outcome::kCompleted);
+  answer.admission_level = 4;
+  Finished(scene.Answer(answer, 5));
+  OnRefused(scene.service.gate, CallClass::kMember, At(5));
+  CHECK(PassesGates(scene.service, "read", CallClass::kStandard, At(6), 1));
+  // The report is too old.
+  CHECK_FALSE(
+      PassesGates(scene.service, "read", CallClass::kStandard, At(200), 1));
+}
+
 // Guards against work of a parent that is wasted because its child is refused
 // at the entry of the next hop.
 TEST_CASE("egress: a gate that refuses root requests lets child calls pass") {
