Keep the worker of a stopping node in use while its own requests run

Requests that ran at the worker also lost their own calls, since the listener closed after 2.6 s. Ruled out: a late list (the entries were right). Now the stop is a plan without I/O (stop_plan): roots are refused after 2.6 s, the worker's calls are taken until its end, calls for the worker until the own requests have ended.

--- a/src/boragepaddle/proxy/entry.cc
+++ b/src/boragepaddle/proxy/entry.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -122,7 +123,16 @@
   call.give_up_at = std::min(call.give_up_at, running->give_up_at);
 }
 
+size_t Entry::RootsInFlight() const {
+  return static_cast<size_t>(absl::c_count_if(
+      this->calls, [](const auto& call) { return !call.second->nested; }));
+}
+
 bool Entry::AdmitRoot(EntryCall& call) {
+  if (this->leaving) {
+    call.last_reason = Reason::kLeaving;
+    return false;
+  }
   const std::string full = routing::AdmitRoot(
       this->root_gate, this->store.workers,
       {call.route->name, call.service, call.priority, call.arrived});
--- a/src/boragepaddle/proxy/entry.h
+++ b/src/boragepaddle/proxy/entry.h
@@ -76,6 +76,12 @@
 
   bool IsWaiting(const event::PeerChannelPtr& channel) const;
   size_t in_flight() const { return this->calls.size(); }
+  /// Requests of clients among them.
+  size_t RootsInFlight() const;
+
+  /// Refuses new requests of clients. Calls of the local worker are still
+  /// taken.
+  void StartLeaving() { this->leaving = true; }
 
  private:
   void SetLineage(EntryCall& call);
@@ -121,6 +127,7 @@
   telemetry::EventLog& log;
   telemetry::RequestMetrics& metrics;
   std::mt19937_64 random;
+  bool leaving = false;
   uint64_t next_id = 1;
   absl::flat_hash_map<uint64_t, std::unique_ptr<EntryCall>> calls;
   /// Attempts in flight by channel number.
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -32,19 +32,9 @@
 constexpr absl::Duration kGrantMinAge = absl::Milliseconds(100);
 constexpr absl::Duration kGrantMaxAge = absl::Milliseconds(400);
 
-/// Time after SIGTERM in which clients may still send, since they learn of it
-/// from two readiness probes a second apart.
-constexpr absl::Duration kKeepAccepting = absl::Milliseconds(2600);
-
-/// Time after SIGTERM in which calls of other nodes are still taken.
-constexpr absl::Duration kKeepTaking = absl::Milliseconds(2500);
-
 /// Time in which a node that starts reads the store by itself.
 constexpr absl::Duration kReadTime = absl::Milliseconds(300);
 
-/// Before the end of the grace period everything is closed.
-constexpr absl::Duration kStopMargin = absl::Milliseconds(300);
-
 constexpr char kMetricsPath[] = "/metrics";
 
 absl::string_view KindName(StoreChange::Kind kind) {
@@ -489,6 +479,7 @@
     return;
   }
   this->stopping_since = event::BootNow();
+  this->stop_plan.settings.grace = this->settings.stop_grace;
   this->log.State(LogLine("node", "stopping")
                       .Add("entry_calls", this->entry.in_flight())
                       .Add("worker_calls", this->worker_side.in_flight()));
@@ -498,25 +489,38 @@
 }
 
 void ProxyNode::TickStopping(absl::Time now) {
-  const absl::Duration elapsed = now - this->stopping_since;
-  if (elapsed > kKeepTaking) {
-    this->worker_side.StopTaking();
-  }
-  if (elapsed < kKeepAccepting) {
+  if (this->stopping_since == absl::InfiniteFuture()) {
     return;
   }
-  if (!this->listener_closed) {
-    this->listener_closed = true;
+  StopProgress progress;
+  progress.elapsed = now - this->stopping_since;
+  progress.root_requests = this->entry.RootsInFlight();
+  progress.entry_requests = this->entry.in_flight();
+  progress.worker_calls = this->worker_side.in_flight();
+  progress.busy_connections = this->callers.Busy();
+  progress.mean_call = this->worker_side.mean_call();
+  const StopPlan before = this->stop_plan;
+  Advance(this->stop_plan, progress);
+  this->PerformStop(before, progress);
+}
+
+void ProxyNode::PerformStop(const StopPlan& before,
+                            const StopProgress& progress) {
+  const StopPlan& plan = this->stop_plan;
+  if (plan.refuses_roots && !before.refuses_roots) {
+    this->entry.StartLeaving();
+  }
+  if (plan.refuses_calls && !before.refuses_calls) {
+    this->worker_side.StopTaking();
+  }
+  if (plan.listener_closed && !before.listener_closed) {
     this->callers.StopListening();
   }
-  const bool drained = this->entry.in_flight() == 0 &&
-                       this->worker_side.in_flight() == 0 &&
-                       this->callers.Busy() == 0;
-  if (drained || elapsed > this->settings.stop_grace - kStopMargin) {
+  if (plan.ended) {
     this->log.State(LogLine("node", "stopped")
-                        .Add("drained", drained)
-                        .Add("entry_calls", this->entry.in_flight())
-                        .Add("worker_calls", this->worker_side.in_flight()));
+                        .Add("drained", plan.drained)
+                        .Add("entry_calls", progress.entry_requests)
+                        .Add("worker_calls", progress.worker_calls));
     this->loop.stop();
   }
 }
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -18,6 +18,7 @@
 #include "boragepaddle/proxy/entry.h"
 #include "boragepaddle/proxy/node_settings.h"
 #include "boragepaddle/proxy/peer_network.h"
+#include "boragepaddle/proxy/stop_plan.h"
 #include "boragepaddle/proxy/store_state.h"
 #include "boragepaddle/proxy/worker_side.h"
 #include "boragepaddle/telemetry/event_log.h"
@@ -81,6 +82,7 @@
   void TellGrant(absl::Time now);
   void OnPause(absl::Time now, absl::Duration gap);
   void TickStopping(absl::Time now);
+  void PerformStop(const StopPlan& before, const StopProgress& progress);
 
   boost::asio::io_context& loop;
   NodeSettings settings;
@@ -108,7 +110,7 @@
   absl::Time stopping_since = absl::InfiniteFuture();
   uint32_t told_grant = 0;
   absl::Time told_at = absl::InfinitePast();
-  bool listener_closed = false;
+  StopPlan stop_plan;
   bool was_ready = false;
 };
 
--- a/src/boragepaddle/proxy/worker_side.h
+++ b/src/boragepaddle/proxy/worker_side.h
@@ -84,6 +84,7 @@
     return this->grant.load >= this->grant.settings.idle;
   }
   size_t in_flight() const { return this->calls.size(); }
+  absl::Duration mean_call() const { return this->gate.mean_time; }
 
  private:
   struct Call {
