--- a/src/boragepaddle/catalog/worker_directory.cc
+++ b/src/boragepaddle/catalog/worker_directory.cc
@@ -5,6 +5,27 @@
 
 namespace boragepaddle::catalog {
 
+namespace {
+
+// The entry of a worker that crashed stays listed until its lease ends. When
+// many VMs restart at once, such entries make up half of the list, and calls
+// for them are refused.
+void MarkSuperseded(WorkerDirectory& directory, WorkerEntry& added) {
+  for (auto& [instance, other] : directory.entries) {
+    if (other.address != added.address || other.instance == added.instance) {
+      continue;
+    }
+    other.superseded |= other.started_ms < added.started_ms;
+    added.superseded |= added.started_ms < other.started_ms;
+  }
+}
+
+}  // namespace
+
+bool IsUsable(const WorkerEntry& entry) {
+  return !entry.draining && !entry.superseded;
+}
+
 void OnSourceFailure(WorkerDirectory& directory, absl::Time now) {
   directory.outage_seen = now;
 }
@@ -17,6 +38,7 @@
     return;
   }
   entry.seen_at = now;
+  MarkSuperseded(directory, entry);
   directory.entries[entry.instance] = std::move(entry);
   ++directory.generation;
 }
--- a/src/boragepaddle/catalog/worker_directory.h
+++ b/src/boragepaddle/catalog/worker_directory.h
@@ -21,6 +21,8 @@
   std::string availability_zone;
   uint32_t slots = 0;
   bool draining = false;
+  /// A worker that started later has the address, so this one has ended.
+  bool superseded = false;
   /// Remaining time of slow work after the start, as of `seen_at`.
   absl::Duration cold_remaining;
   /// Start of the worker, in milliseconds since the Unix epoch.
@@ -51,6 +53,9 @@
   uint64_t generation = 0;
 };
 
+/// True if the worker may be given new calls.
+bool IsUsable(const WorkerEntry& entry);
+
 /// A read of the list's source failed.
 void OnSourceFailure(WorkerDirectory& directory, absl::Time now);
 
--- a/src/boragepaddle/routing/root_gate.cc
+++ b/src/boragepaddle/routing/root_gate.cc
@@ -57,7 +57,7 @@
   service.generation = directory.generation;
   service.slots = 0;
   for (const auto& [instance, entry] : directory.entries) {
-    if (entry.service == name && !entry.draining) {
+    if (entry.service == name && catalog::IsUsable(entry)) {
       service.slots += entry.slots;
     }
   }
--- a/src/boragepaddle/routing/worker_choice.cc
+++ b/src/boragepaddle/routing/worker_choice.cc
@@ -144,7 +144,7 @@
   size_t index = 0;
   for (const auto& [instance, entry] : directory.entries) {
     ++index;
-    if (entry.service != query.service || entry.draining ||
+    if (entry.service != query.service || !catalog::IsUsable(entry) ||
         absl::c_linear_search(query.exclude, instance)) {
       continue;
     }
--- a/tests/unit/platform_path/catalog_test.cc
+++ b/tests/unit/platform_path/catalog_test.cc
@@ -106,5 +106,29 @@
   CHECK(FindByAddress(directory, "10.0.0.2:80") == nullptr);
 }
 
+// Guards against calls for workers that crashed with their VMs: half of the
+// listed entries after a power loss, for as long as their leases last.
+TEST_CASE("A later start at an address ends the earlier worker") {
+  WorkerDirectory directory;
+  WorkerEntry crashed = MakeEntry("i-2", 5);
+  crashed.started_ms = 100;
+  WorkerEntry fresh = MakeEntry("i-1", 6);
+  fresh.started_ms = 200;
+  WorkerEntry other = MakeEntry("i-3", 7);
+  other.address = "10.0.0.2:80";
+  PutWorker(directory, crashed, At(0));
+  CHECK(IsUsable(directory.entries.at("i-2")));
+  PutWorker(directory, fresh, At(1));
+  PutWorker(directory, other, At(1));
+  CHECK_FALSE(IsUsable(directory.entries.at("i-2")));
+  CHECK(IsUsable(directory.entries.at("i-1")));
+  CHECK(IsUsable(directory.entries.at("i-3")));
+  // In whatever order the entries are read.
+  crashed.revision = 8;
+  PutWorker(directory, crashed, At(2));
+  CHECK_FALSE(IsUsable(directory.entries.at("i-2")));
+  CHECK(IsUsable(directory.entries.at("i-1")));
+}
+
 }  // namespace
 }  // namespace boragepaddle::catalog
