Do not prefer slow workers of the own availability zone

Workers of the own zone went first below a load of 0.7 whatever their pace. Each report now carries the mean time of a call, and a worker that is more than 1.2 times as slow as its siblings competes by its load alone. Test: worker_choice_test (one_slow_worker).

--- a/src/boragepaddle/admission/worker_gate.cc
+++ b/src/boragepaddle/admission/worker_gate.cc
@@ -56,6 +56,15 @@
   }
 }
 
+void AddSample(WorkerGate& gate, absl::Duration time) {
+  const GateSettings& settings = gate.settings;
+  gate.mean_time =
+      gate.mean_time * (1 - settings.mean_weight) + time * settings.mean_weight;
+  ++gate.pace_samples;
+  const double weight = std::max(settings.pace_weight, 1.0 / gate.pace_samples);
+  gate.pace = gate.pace * (1 - weight) + time * weight;
+}
+
 /// Calls of the same or a more important rank that wait.
 size_t QueuedBefore(const WorkerGate& gate, uint32_t rank) {
   if (gate.queue.empty()) {
@@ -134,9 +143,7 @@
   const auto found = gate.running.find(id);
   if (found != gate.running.end()) {
     if (completed) {
-      const double weight = gate.settings.mean_weight;
-      gate.mean_time =
-          gate.mean_time * (1 - weight) + (now - found->second) * weight;
+      AddSample(gate, now - found->second);
     }
     gate.running.erase(found);
   }
--- a/src/boragepaddle/admission/worker_gate.h
+++ b/src/boragepaddle/admission/worker_gate.h
@@ -28,6 +28,8 @@
   absl::Duration max_wait = absl::Milliseconds(250);
   /// Weight of a new sample in the mean time of a call.
   double mean_weight = 0.05;
+  /// Weight of a new sample in the mean that other nodes compare workers by.
+  double pace_weight = 0.01;
   /// Mean time of a call before the first sample.
   absl::Duration initial_mean = absl::Milliseconds(50);
 };
@@ -73,6 +75,9 @@
   /// Start of each running call.
   absl::flat_hash_map<uint64_t, absl::Time> running;
   absl::Duration mean_time;
+  /// Steadier mean, zero before the first sample.
+  absl::Duration pace;
+  uint32_t pace_samples = 0;
   uint64_t next_sequence = 0;
 };
 
--- a/src/boragepaddle/proxy/worker_side.cc
+++ b/src/boragepaddle/proxy/worker_side.cc
@@ -361,6 +361,8 @@
   load.queued = static_cast<uint32_t>(this->gate.queue.size());
   load.limit = admission::GateLimit(this->gate);
   load.grant = admission::GrantThousandths(this->grant);
+  load.mean_us =
+      static_cast<uint32_t>(absl::ToInt64Microseconds(this->gate.pace));
   return load;
 }
 
--- a/src/boragepaddle/routing/worker_choice.cc
+++ b/src/boragepaddle/routing/worker_choice.cc
@@ -52,6 +52,34 @@
   return load == nullptr || (!load->refusing && now >= load->avoid_until);
 }
 
+/// Mean time of a call at the usable workers of the service; 0 if not known.
+double TypicalTime(const LoadTable& table,
+                   const catalog::WorkerDirectory& directory,
+                   absl::string_view service) {
+  double sum = 0;
+  double known = 0;
+  for (const auto& [instance, entry] : directory.entries) {
+    const WorkerLoad* load = FindLoad(table, instance);
+    if (entry.service == service && catalog::IsUsable(entry) &&
+        load != nullptr && load->reported.mean_us > 0) {
+      sum += load->reported.mean_us;
+      known += 1;
+    }
+  }
+  return known > 0 ? sum / known : 0;
+}
+
+/// Time of a call at the worker relative to the typical one.
+double RelativePace(const LoadTable& table,
+                    const catalog::WorkerEntry& entry,
+                    double typical) {
+  const WorkerLoad* load = FindLoad(table, entry.instance);
+  if (load == nullptr || load->reported.mean_us == 0 || typical <= 0) {
+    return 1;
+  }
+  return load->reported.mean_us / typical;
+}
+
 /// A repeatable pseudo-random number in [0, 1) for one candidate.
 double Fraction(uint64_t random, size_t index) {
   uint64_t mixed = random + 0x9e3779b97f4a7c15u * (index + 1);
@@ -139,6 +167,7 @@
     const catalog::WorkerDirectory& directory,
     const ChoiceQuery& query) {
   const ChoiceSettings& settings = table.settings;
+  const double typical = TypicalTime(table, directory, query.service);
   const catalog::WorkerEntry* best = nullptr;
   double best_cost = 0;
   size_t index = 0;
@@ -152,10 +181,15 @@
     if (!room && query.only_with_room) {
       continue;
     }
-    double cost = EstimatedLoad(table, entry, query.now);
+    const double pace = RelativePace(table, entry, typical);
+    const double load = EstimatedLoad(table, entry, query.now);
+    double cost = load;
     if (entry.availability_zone == query.availability_zone) {
-      // All loads below the threshold are as good as none.
-      cost = cost < settings.local_load ? cost * 0.01 : cost;
+      // All loads below the threshold are as good as none. A slow worker gains
+      // less by its place than a call loses by its pace.
+      const bool good =
+          load < settings.local_load && pace <= settings.local_pace;
+      cost = good ? cost * 0.01 : cost;
     } else {
       cost += settings.crossing_load;
     }
--- a/src/boragepaddle/routing/worker_choice.h
+++ b/src/boragepaddle/routing/worker_choice.h
@@ -17,6 +17,9 @@
 struct ChoiceSettings {
   /// Load up to which workers of the own availability zone go first.
   double local_load = 0.7;
+  /// Mean time, relative to that of all workers of the service, up to which
+  /// they do.
+  double local_pace = 1.2;
   /// Load that one zone crossing counts as.
   double crossing_load = 0.15;
   /// Pause after a node could not be reached or refused for lack of room.
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -177,7 +177,7 @@
 
 bool operator==(const GateLoad& a, const GateLoad& b) {
   return a.running == b.running && a.queued == b.queued && a.limit == b.limit &&
-         a.grant == b.grant;
+         a.grant == b.grant && a.mean_us == b.mean_us;
 }
 
 bool operator!=(const GateLoad& a, const GateLoad& b) {
@@ -519,11 +519,12 @@
 }
 
 void Pack(Packer& packer, const GateLoad& value) {
-  packer.pack_array(4);
+  packer.pack_array(5);
   Pack(packer, value.running);
   Pack(packer, value.queued);
   Pack(packer, value.limit);
   Pack(packer, value.grant);
+  Pack(packer, value.mean_us);
 }
 
 bool Unpack(const msgpack::object& object, GateLoad* value) {
@@ -532,6 +533,7 @@
   reader.Next(&value->queued);
   reader.Next(&value->limit);
   reader.Next(&value->grant);
+  reader.Next(&value->mean_us);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -172,6 +172,8 @@
   /// Factor on the share of the worker's capacity that an entry may use for
   /// root requests, in thousandths.
   uint32_t grant = 0;
+  /// Mean time of a call at the worker, in microseconds; 0 if not known.
+  uint32_t mean_us = 0;
 };
 /// Compares all fields.
 bool operator==(const GateLoad& a, const GateLoad& b);
--- a/tests/unit/platform_path/worker_choice_test.cc
+++ b/tests/unit/platform_path/worker_choice_test.cc
@@ -69,6 +69,38 @@
   CHECK(chosen["3"] > 10);
 }
 
+// Guards against requests that miss the route's time limit at a slow worker
+// while faster ones in the other zones have room (one_slow_worker).
+TEST_CASE("A slow worker of the own zone has no preference") {
+  Fleet fleet;
+  const auto report = [&](const std::string& instance, uint32_t mean_us) {
+    schema::GateLoad load;
+    load.limit = 20;
+    load.mean_us = mean_us;
+    OnCallSent(fleet.table, instance);
+    OnCallEnded(fleet.table, instance, load, /*failed=*/false, At(10));
+  };
+  const auto chosen_local = [&] {
+    for (int call = 0; call < 10; ++call) {
+      OnCallSent(fleet.table, "1");
+    }
+    int local = 0;
+    for (uint64_t random = 0; random < 50; ++random) {
+      local += fleet.Choose({}, true, random) == "1" ? 1 : 0;
+    }
+    for (int call = 0; call < 10; ++call) {
+      OnCallLost(fleet.table, "1");
+    }
+    return local;
+  };
+  report("1", 100000);
+  report("2", 90000);
+  report("3", 110000);
+  CHECK(chosen_local() == 50);
+  report("1", 200000);
+  CHECK(chosen_local() == 0);
+}
+
 TEST_CASE("Draining, excluded and foreign workers are not chosen") {
   Fleet fleet;
   catalog::WorkerEntry draining = MakeEntry("1", "a");
