Send repeatable calls elsewhere when their node gives no sign of life

Calls that may run once wait on. A connection that does not open is given up after 0.4 s instead of 1 s.

--- a/src/boragepaddle/event/peer_channel.cc
+++ b/src/boragepaddle/event/peer_channel.cc
@@ -21,14 +21,9 @@
 /// Bytes that may wait for a slow peer.
 constexpr size_t kMaxOutgoingBytes = 16u << 20;
 
-/// A connection attempt is given up after this time.
-constexpr absl::Duration kConnectTime = absl::Seconds(1);
-
-/// Silence after which a heartbeat is sent, and after which the channel is
-/// taken for dead. The second is long enough for a node with little processor
-/// time to answer.
-constexpr absl::Duration kHeartbeatAfter = absl::Milliseconds(700);
-constexpr absl::Duration kDeadAfter = absl::Milliseconds(2200);
+/// A connection attempt is given up after this time, several round trips
+/// between regions. Calls that wait for it are sent elsewhere.
+constexpr absl::Duration kConnectTime = absl::Milliseconds(400);
 
 }  // namespace
 
@@ -38,9 +33,7 @@
       events(events),
       socket(loop),
       created(BootNow()),
-      last_heard(created),
-      last_heartbeat(created),
-      last_tick(created) {}
+      silence(MakeSilenceWatch(SilenceSettings(), created)) {}
 
 void PeerChannel::Adopt(Tcp::socket accepted) {
   this->socket = std::move(accepted);
@@ -64,7 +57,7 @@
 
 void PeerChannel::OnOpened() {
   this->opened = true;
-  this->last_heard = BootNow();
+  OnHeard(this->silence, BootNow());
   SetLiveness(this->socket);
   this->events.on_open(this->shared_from_this());
   this->Read();
@@ -124,7 +117,7 @@
           self->Close();
           return;
         }
-        self->last_heard = BootNow();
+        OnHeard(self->silence, BootNow());
         self->received.append(self->chunk.data(), count);
         self->TakeFrames();
         if (!self->closed) {
@@ -168,31 +161,24 @@
   if (this->closed) {
     return;
   }
-  const bool was_paused = now - this->last_tick > kHeartbeatAfter;
-  this->last_tick = now;
-  if (was_paused) {
-    // Silence during a pause of this process says nothing about the peer.
-    this->last_heard = now;
-    this->created = this->opened ? this->created : now;
-  }
   if (!this->opened) {
     if (now - this->created > kConnectTime) {
       this->Close();
     }
     return;
   }
-  if (!waiting) {
-    this->last_heard = std::max(this->last_heard, now - kHeartbeatAfter);
-    return;
-  }
-  if (now - this->last_heard > kDeadAfter) {
-    this->Close();
-    return;
-  }
-  if (now - this->last_heard > kHeartbeatAfter &&
-      now - this->last_heartbeat > kHeartbeatAfter) {
-    this->last_heartbeat = now;
-    this->Send(schema::Heartbeat{false});
+  switch (CheckSilence(this->silence, waiting, now)) {
+    case SilenceSign::kNothing:
+      break;
+    case SilenceSign::kSendHeartbeat:
+      this->Send(schema::Heartbeat{false});
+      break;
+    case SilenceSign::kSuspect:
+      this->events.on_suspect(this->shared_from_this());
+      break;
+    case SilenceSign::kDead:
+      this->Close();
+      break;
   }
 }
 
--- a/src/boragepaddle/event/peer_channel.h
+++ b/src/boragepaddle/event/peer_channel.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "boragepaddle/event/silence_watch.h"
 #include "boragepaddle/event/socket_options.h"
 #include "boragepaddle/schema/messages.h"
 
@@ -22,6 +23,8 @@
 struct PeerChannelEvents {
   std::function<void(const PeerChannelPtr&)> on_open;
   std::function<void(const PeerChannelPtr&, schema::Message&)> on_message;
+  /// The peer, from which answers are awaited, gives no sign of life.
+  std::function<void(const PeerChannelPtr&)> on_suspect;
   /// Once, after an open or a failed attempt to open.
   std::function<void(const PeerChannelPtr&)> on_closed;
 };
@@ -42,7 +45,8 @@
   /// Closes; `on_closed` follows on the event loop.
   void Close();
 
-  /// Sends heartbeats while `waiting`, and closes a channel that stays silent.
+  /// Sends heartbeats while `waiting`, reports a peer that is silent, and
+  /// closes a channel that stays so.
   void Tick(absl::Time now, bool waiting);
 
   bool is_open() const { return this->opened && !this->closed; }
@@ -72,9 +76,7 @@
   std::string outgoing;
   std::string in_transit;
   absl::Time created;
-  absl::Time last_heard;
-  absl::Time last_heartbeat;
-  absl::Time last_tick;
+  SilenceWatch silence;
 };
 
 }  // namespace boragepaddle::event
--- a/src/boragepaddle/proxy/entry.cc
+++ b/src/boragepaddle/proxy/entry.cc
@@ -453,13 +453,47 @@
   this->EndUnsent(call);
 }
 
-void Entry::OnChannelClosed(const event::PeerChannelPtr& channel) {
-  std::vector<uint64_t> lost;
+std::vector<uint64_t> Entry::PendingOn(
+    const event::PeerChannelPtr& channel) const {
+  std::vector<uint64_t> ids;
   for (const auto& [id, call] : this->calls) {
     if (call->attempt_pending && call->channel == channel) {
-      lost.push_back(id);
+      ids.push_back(id);
     }
   }
+  return ids;
+}
+
+void Entry::OnChannelSilent(const event::PeerChannelPtr& channel) {
+  const absl::Time now = event::BootNow();
+  size_t repeated = 0;
+  const std::vector<uint64_t> pending = this->PendingOn(channel);
+  for (const uint64_t id : pending) {
+    EntryCall& call = *this->calls.at(id);
+    routing::OnUnreachable(this->loads, call.instance, now);
+    if (!call.route->repeatable) {
+      continue;
+    }
+    // The silent node may have given the call to its worker.
+    ++call.offers;
+    if (!this->MayRepeat(call)) {
+      --call.offers;
+      continue;
+    }
+    this->CancelAttempt(call);
+    call.may_have_run = true;
+    call.last_reason = Reason::kPaused;
+    ++repeated;
+    this->Attempt(call);
+  }
+  this->log.State(telemetry::LogLine("entry", "peer_silent")
+                      .Add("host", channel->host)
+                      .Add("waiting", pending.size())
+                      .Add("sent_elsewhere", repeated));
+}
+
+void Entry::OnChannelClosed(const event::PeerChannelPtr& channel) {
+  const std::vector<uint64_t> lost = this->PendingOn(channel);
   this->waiting.erase(channel->number);
   for (const uint64_t id : lost) {
     const auto found = this->calls.find(id);
--- a/src/boragepaddle/proxy/entry.h
+++ b/src/boragepaddle/proxy/entry.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -67,6 +68,10 @@
   /// An answer came on a channel, or from the local worker's side.
   void OnAnswer(schema::HttpAnswer answer);
 
+  /// The node at the other end gives no sign of life. Calls that may be
+  /// repeated are sent elsewhere; the others wait on.
+  void OnChannelSilent(const event::PeerChannelPtr& channel);
+
   /// A channel closed; its attempts get no answers.
   void OnChannelClosed(const event::PeerChannelPtr& channel);
 
@@ -95,6 +100,7 @@
   schema::HttpCall MakeMessage(const EntryCall& call,
                                const catalog::WorkerEntry& worker,
                                absl::Time now) const;
+  std::vector<uint64_t> PendingOn(const event::PeerChannelPtr& channel) const;
   void OnAttemptEnd(EntryCall& call, schema::HttpAnswer& answer);
   void LearnUse(const EntryCall& call, const schema::HttpAnswer& answer);
   void OnNotRun(EntryCall& call, const schema::HttpAnswer& answer);
--- a/src/boragepaddle/proxy/peer_network.cc
+++ b/src/boragepaddle/proxy/peer_network.cc
@@ -51,6 +51,7 @@
                                      schema::Message& message) {
     this->events.on_message(channel, message);
   };
+  channel_events.on_suspect = this->events.on_suspect;
   channel_events.on_closed = [this](const PeerChannelPtr& channel) {
     const auto found = this->outgoing.find(channel->host);
     if (found != this->outgoing.end() && found->second == channel) {
--- a/src/boragepaddle/proxy/peer_network.h
+++ b/src/boragepaddle/proxy/peer_network.h
@@ -19,6 +19,7 @@
 struct PeerNetworkEvents {
   std::function<void(const event::PeerChannelPtr&, schema::Message&)>
       on_message;
+  std::function<void(const event::PeerChannelPtr&)> on_suspect;
   std::function<void(const event::PeerChannelPtr&)> on_closed;
   /// First frame of each direction.
   std::function<schema::PeerHello()> make_hello;
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -20,6 +20,9 @@
 /// Pace of what needs no precision: connection time-outs, expiry.
 constexpr absl::Duration kSlowTick = absl::Milliseconds(200);
 
+/// Pace of the checks for silent peers.
+constexpr absl::Duration kPeerTick = absl::Milliseconds(100);
+
 /// The settings file may change without a signal.
 constexpr absl::Duration kReloadInterval = absl::Milliseconds(500);
 
@@ -121,6 +124,7 @@
       started(event::BootNow()),
       last_tick(this->started),
       last_slow_tick(this->last_tick),
+      last_peer_tick(this->last_tick),
       last_reload(this->last_tick) {}
 
 bool ProxyNode::Listen(event::HttpServer& server, const std::string& address) {
@@ -168,6 +172,9 @@
                              schema::Message& message) {
     this->OnPeerMessage(channel, message);
   };
+  events.on_suspect = [this](const PeerChannelPtr& channel) {
+    this->entry.OnChannelSilent(channel);
+  };
   events.on_closed = [this](const PeerChannelPtr& channel) {
     this->OnChannelClosed(channel);
   };
@@ -395,13 +402,16 @@
   this->entry.Tick(now);
   this->worker_side.Tick(now);
   this->TellGrant(now);
+  if (now - this->last_peer_tick >= kPeerTick) {
+    this->last_peer_tick = now;
+    this->peers.Tick(now);
+  }
   if (now - this->last_slow_tick >= kSlowTick) {
     this->last_slow_tick = now;
     this->callers.Tick(now);
     this->probes.Tick(now);
     this->operators.Tick(now);
     this->workers.Tick(now);
-    this->peers.Tick(now);
     this->AskForCopy();
     if (catalog::ExpireWorkers(this->store.workers, now)) {
       this->OnStateChanged();
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -106,6 +106,7 @@
   const absl::Time started;
   absl::Time last_tick;
   absl::Time last_slow_tick;
+  absl::Time last_peer_tick;
   absl::Time last_reload;
   absl::Time stopping_since = absl::InfiniteFuture();
   uint32_t told_grant = 0;
