Let one request in three tell what it uses of each service

What a route uses was learned while the workers were cold and twice as slow, and with one sample in eight it took 3 s to forget. Ruled out: the grants, which recover by 10% every 200 ms.

--- a/src/boragepaddle/routing/root_gate.h
+++ b/src/boragepaddle/routing/root_gate.h
@@ -22,7 +22,7 @@
   /// The first requests of a route all report what they use, later ones one
   /// in this many.
   uint32_t first_samples = 16;
-  uint32_t sample_every = 8;
+  uint32_t sample_every = 3;
   /// Load of a service up to which root requests are admitted.
   double target = 0.92;
   /// Time over which unused allowance is kept, and up to which the most
