Gather changes of workers before the next watch call

After an answer with changes the next watch of the workers now waits 250 ms; the watch of the configuration does not wait. Test: source_watch_test.

--- a/src/boragepaddle/event/source_watch.cc
+++ b/src/boragepaddle/event/source_watch.cc
@@ -123,10 +123,22 @@
     this->revision = std::max(this->revision, item.revision);
   }
   this->revision = std::max(this->revision, page.as_of);
-  if (!page.items.empty()) {
-    this->events.on_changes(page.items);
+  if (page.items.empty()) {
+    this->WatchNext();
+    return;
   }
-  this->WatchNext();
+  this->events.on_changes(page.items);
+  this->After(this->settings.gather, &SourceWatch::WatchNext);
+}
+
+void SourceWatch::After(absl::Duration pause, void (SourceWatch::*next)()) {
+  this->timer.expires_after(absl::ToChronoNanoseconds(pause));
+  this->timer.async_wait([this, next, epoch = this->epoch](
+                             const boost::system::error_code& error) {
+    if (!error && epoch == this->epoch) {
+      (this->*next)();
+    }
+  });
 }
 
 void SourceWatch::OnSuccess() {
@@ -148,13 +160,7 @@
   const absl::Duration pause =
       std::min(this->settings.longest_pause,
                this->settings.first_pause * (1u << doublings));
-  this->timer.expires_after(absl::ToChronoNanoseconds(pause));
-  this->timer.async_wait(
-      [this, epoch = this->epoch](const boost::system::error_code& error) {
-        if (!error && epoch == this->epoch) {
-          this->Start();
-        }
-      });
+  this->After(pause, &SourceWatch::Start);
 }
 
 }  // namespace boragepaddle::event
--- a/src/boragepaddle/event/source_watch.h
+++ b/src/boragepaddle/event/source_watch.h
@@ -24,6 +24,9 @@
   /// Pause after the first failure; doubles up to the longest.
   absl::Duration first_pause = absl::Milliseconds(100);
   absl::Duration longest_pause = absl::Milliseconds(500);
+  /// Pause after changes, in which others gather for the next answer. Each
+  /// call costs the source; changes come together when many workers start.
+  absl::Duration gather = absl::ZeroDuration();
 };
 
 /// What a watch tells its owner.
@@ -60,6 +63,8 @@
   void OnPage(SourcePage page);
   void FinishList();
   void WatchNext();
+  /// Calls `next` after the pause, unless the watch is restarted meanwhile.
+  void After(absl::Duration pause, void (SourceWatch::*next)());
   void OnWatched(SourcePage page);
   void OnFailure(const SourceError& error);
   void OnSuccess();
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -35,6 +35,10 @@
 constexpr absl::Duration kGrantMinAge = absl::Milliseconds(100);
 constexpr absl::Duration kGrantMaxAge = absl::Milliseconds(400);
 
+/// Pause in which changes of workers gather: a fraction of the time within
+/// which a leaving worker must get no more calls.
+constexpr absl::Duration kGatherWorkers = absl::Milliseconds(250);
+
 /// Time in which a node that starts reads the store by itself.
 constexpr absl::Duration kReadTime = absl::Milliseconds(300);
 
@@ -62,6 +66,12 @@
   return {dialect.request_id, dialect.not_run};
 }
 
+event::SourceWatchSettings WorkerWatchSettings() {
+  event::SourceWatchSettings settings;
+  settings.gather = kGatherWorkers;
+  return settings;
+}
+
 StoreState MakeStore(const NodeSettings& settings,
                      const StoreDialect& dialect) {
   StoreState store;
@@ -118,7 +128,7 @@
       worker_watch(loop,
                    *this->parts.worker_source,
                    this->parts.store.worker_prefix,
-                   event::SourceWatchSettings(),
+                   WorkerWatchSettings(),
                    this->MakeWatchEvents("workers")),
       timer(loop),
       started(event::BootNow()),
--- a/tests/unit/platform_path/source_watch_test.cc
+++ b/tests/unit/platform_path/source_watch_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/post.hpp>
+#include <chrono>
 #include <deque>
 #include <string>
 #include <vector>
@@ -50,6 +51,7 @@
   boost::asio::io_context loop{1};
   ScriptedSource source{loop};
   std::vector<schema::KeyValue> changes;
+  absl::Duration gather = absl::ZeroDuration();
   int completions = 0;
   int failures = 0;
   int recoveries = 0;
@@ -63,6 +65,7 @@
     events.on_failure = [this](const SourceError&) { ++this->failures; };
     events.on_recovery = [this] { ++this->recoveries; };
     SourceWatchSettings settings;
+    settings.gather = this->gather;
     settings.first_pause = absl::Milliseconds(1);
     SourceWatch watch(this->loop, this->source, "w/", settings, events);
     watch.Start();
@@ -97,6 +100,21 @@
   CHECK(harness.failures == 0);
 }
 
+TEST_CASE("Changes gather for a moment before the next watch") {
+  // Guards against one call a node for each worker of a fleet that starts.
+  Harness harness;
+  harness.gather = absl::Milliseconds(40);
+  harness.source.answers = {SourcePage{{}, 10, false},
+                            SourcePage{{{"w/a", "1", 11, false}}, 11, false},
+                            SourcePage{{}, 12, false}};
+  const auto start = std::chrono::steady_clock::now();
+  harness.Run();
+  CHECK(std::chrono::steady_clock::now() - start >=
+        std::chrono::milliseconds(40));
+  CHECK(harness.source.calls ==
+        std::vector<std::string>{"list:", "watch:10", "watch:11", "watch:12"});
+}
+
 TEST_CASE("The first watch after a failure is short") {
   // Guards against noticing the end of an outage only with the next change,
   // which then passes for an entry that lapsed during the outage.
