Let five nodes read the store and tell the others

Cause: each node listed and watched the store by itself, so calls grew with nodes x changes.

Ruled out: longer waits of the watches alone.

The first read of a process is the cheap one that may be old; it is ready when a current source or an own read confirmed it. StoreCopy and two watches a node are gone.

Tests: feed_fleet_test drives 13 to 1,000 nodes with frozen readers, readers without the store, outages and old copies; platform_path_test has a node that loses the store, which fails on the parent commit (no new route within 2 s). source_watch_test: an item that is listed again unchanged is no longer a change, so the case after a compaction expects 3 changes instead of 4 and now also the items that remain.

--- a/src/apps/boragepaddle_sidecar.cc
+++ b/src/apps/boragepaddle_sidecar.cc
@@ -103,10 +103,7 @@
   bp::proxy::NodeParts parts;
   parts.http = bp::platform::MakeHttpDialect();
   parts.store = bp::platform::MakeStoreDialect();
-  parts.config_source =
-      std::make_unique<bp::platform::StoreClient>(loop, *store);
-  parts.worker_source =
-      std::make_unique<bp::platform::StoreClient>(loop, *store);
+  parts.source = std::make_unique<bp::platform::StoreClient>(loop, *store);
   parts.reload = MakeReload(path);
   bp::proxy::ProxyNode node(loop, settings.node, std::move(parts), log);
   if (!node.Start()) {
--- a/src/boragepaddle/catalog/worker_directory.cc
+++ b/src/boragepaddle/catalog/worker_directory.cc
@@ -27,7 +27,7 @@
 }
 
 void OnSourceFailure(WorkerDirectory& directory, absl::Time now) {
-  directory.outage_seen = now;
+  directory.outage_seen = std::max(directory.outage_seen, now);
 }
 
 void PutWorker(WorkerDirectory& directory, WorkerEntry entry, absl::Time now) {
--- a/src/boragepaddle/catalog/worker_directory.h
+++ b/src/boragepaddle/catalog/worker_directory.h
@@ -56,7 +56,7 @@
 /// True if the worker may be given new calls.
 bool IsUsable(const WorkerEntry& entry);
 
-/// A read of the list's source failed.
+/// The list's source failed at this time.
 void OnSourceFailure(WorkerDirectory& directory, absl::Time now);
 
 /// Adds or replaces an entry.
--- a/src/boragepaddle/event/key_value_source.h
+++ b/src/boragepaddle/event/key_value_source.h
@@ -39,6 +39,13 @@
   bool more = false;
 };
 
+/// How new a list has to be.
+enum class ReadMode : uint8_t {
+  kNewest,
+  /// May be seconds old, and costs the source little.
+  kMaybeStale,
+};
+
 /// A revisioned key-value store that is read and watched. At most one read of
 /// each object is in progress; the callback is never called from within the
 /// call.
@@ -51,6 +58,7 @@
   /// Items whose key begins with the prefix and comes after `after_key`.
   virtual void List(absl::string_view prefix,
                     absl::string_view after_key,
+                    ReadMode mode,
                     Callback callback) = 0;
 
   /// Changes after the revision, as soon as there are any or when the wait is
--- a/src/boragepaddle/event/source_watch.cc
+++ b/src/boragepaddle/event/source_watch.cc
@@ -22,26 +22,56 @@
       events(std::move(events)),
       timer(loop) {}
 
-void SourceWatch::Start() {
-  if (this->must_list) {
-    this->listed.clear();
-    this->list_revision = 0;
-    this->ListPage("");
-    return;
-  }
-  this->WatchNext();
+void SourceWatch::ReadOnce() {
+  this->Begin(Mode::kReadOnce);
 }
 
-void SourceWatch::Restart() {
+void SourceWatch::Follow() {
+  this->Begin(Mode::kFollow);
+}
+
+void SourceWatch::Stop() {
   ++this->epoch;
+  this->mode = Mode::kStopped;
   this->timer.cancel();
   this->source.Abort();
-  this->Start();
+}
+
+void SourceWatch::Restart() {
+  this->Begin(this->mode);
+}
+
+void SourceWatch::SkipTo(uint64_t revision) {
+  this->revision = std::max(this->revision, revision);
+  this->must_list = false;
+}
+
+void SourceWatch::Begin(Mode next) {
+  this->Stop();
+  this->mode = next;
+  this->failures = 0;
+  this->unsure = true;
+  this->Run();
+}
+
+void SourceWatch::Run() {
+  if (this->mode == Mode::kStopped) {
+    return;
+  }
+  if (this->must_list || this->mode == Mode::kReadOnce) {
+    this->listed = feed::ReplicaPage();
+    this->listed.whole = true;
+    this->ListPage("");
+    return;
+  }
+  this->WatchNext();
 }
 
 void SourceWatch::ListPage(const std::string& after_key) {
+  const ReadMode read =
+      this->mode == Mode::kReadOnce ? ReadMode::kMaybeStale : ReadMode::kNewest;
   this->source.List(
-      this->prefix, after_key,
+      this->prefix, after_key, read,
       [this, epoch = this->epoch](base::Result<SourcePage, SourceError> page) {
         if (epoch != this->epoch) {
           return;
@@ -58,15 +88,15 @@
 void SourceWatch::OnPage(SourcePage page) {
   // Pages are not one snapshot. The changes since the first page are watched
   // afterwards; those that a later page already shows are applied again.
-  if (this->list_revision == 0) {
-    this->list_revision = page.as_of;
+  if (this->listed.to == 0) {
+    this->listed.to = page.as_of;
   }
   const bool more = page.more && !page.items.empty();
   for (schema::KeyValue& item : page.items) {
-    this->listed.push_back(std::move(item));
+    this->listed.items.push_back(std::move(item));
   }
   if (more) {
-    const std::string last = this->listed.back().key;
+    const std::string last = this->listed.items.back().key;
     this->ListPage(last);
     return;
   }
@@ -74,61 +104,62 @@
 }
 
 void SourceWatch::FinishList() {
-  absl::btree_set<std::string> present;
-  for (const schema::KeyValue& item : this->listed) {
-    present.insert(item.key);
-  }
-  for (const std::string& key : this->known) {
-    if (!present.contains(key)) {
-      this->listed.push_back({key, "", this->list_revision, true});
-    }
+  if (this->mode == Mode::kReadOnce) {
+    // The result may be old, so following the source begins with a new one.
+    this->mode = Mode::kStopped;
+    this->events.on_page(std::move(this->listed));
+    return;
   }
-  this->known = std::move(present);
-  this->revision = this->list_revision;
+  this->revision = std::max(this->revision, this->listed.to);
   this->must_list = false;
-  this->events.on_changes(this->listed);
-  this->listed.clear();
-  if (!this->read_in_full) {
-    this->read_in_full = true;
-    this->events.on_complete();
+  this->unsure = false;
+  const uint64_t epoch = this->epoch;
+  this->events.on_page(std::move(this->listed));
+  if (epoch == this->epoch) {
+    this->WatchNext();
   }
-  this->WatchNext();
 }
 
 void SourceWatch::WatchNext() {
+  const bool is_first = this->unsure || this->failures > 0;
   const absl::Duration wait =
-      this->failures > 0 ? this->settings.first_wait : this->settings.wait;
-  this->source.Watch(
-      this->prefix, this->revision, wait,
-      [this, epoch = this->epoch](base::Result<SourcePage, SourceError> page) {
-        if (epoch != this->epoch) {
-          return;
-        }
-        if (!page) {
-          this->OnFailure(page.error());
-          return;
-        }
-        this->OnSuccess();
-        this->OnWatched(std::move(page.value()));
-      });
+      is_first ? this->settings.first_wait : this->settings.wait;
+  this->source.Watch(this->prefix, this->revision, wait,
+                     [this, from = this->revision, epoch = this->epoch](
+                         base::Result<SourcePage, SourceError> page) {
+                       if (epoch != this->epoch) {
+                         return;
+                       }
+                       if (!page) {
+                         this->OnFailure(page.error());
+                         return;
+                       }
+                       this->OnSuccess();
+                       this->unsure = false;
+                       this->OnWatched(from, std::move(page.value()));
+                     });
 }
 
-void SourceWatch::OnWatched(SourcePage page) {
+void SourceWatch::OnWatched(uint64_t from, SourcePage page) {
+  feed::ReplicaPage changes;
+  changes.from = from;
+  changes.to = std::max(from, page.as_of);
   for (const schema::KeyValue& item : page.items) {
-    if (item.removed) {
-      this->known.erase(item.key);
-    } else {
-      this->known.insert(item.key);
-    }
-    this->revision = std::max(this->revision, item.revision);
+    changes.to = std::max(changes.to, item.revision);
   }
-  this->revision = std::max(this->revision, page.as_of);
-  if (page.items.empty()) {
-    this->WatchNext();
+  this->revision = std::max(this->revision, changes.to);
+  const bool changed = !page.items.empty();
+  changes.items = std::move(page.items);
+  const uint64_t epoch = this->epoch;
+  this->events.on_page(std::move(changes));
+  if (epoch != this->epoch) {
     return;
   }
-  this->events.on_changes(page.items);
-  this->After(this->settings.gather, &SourceWatch::WatchNext);
+  if (changed) {
+    this->After(this->settings.gather, &SourceWatch::WatchNext);
+  } else {
+    this->WatchNext();
+  }
 }
 
 void SourceWatch::After(absl::Duration pause, void (SourceWatch::*next)()) {
@@ -151,16 +182,16 @@
 void SourceWatch::OnFailure(const SourceError& error) {
   if (error.code == SourceErrorCode::kCompacted) {
     this->must_list = true;
-    this->Start();
+    this->Run();
     return;
   }
-  this->events.on_failure(error);
   const uint32_t doublings = std::min(this->failures, kMaxDoublings);
   ++this->failures;
   const absl::Duration pause =
       std::min(this->settings.longest_pause,
                this->settings.first_pause * (1u << doublings));
-  this->After(pause, &SourceWatch::Start);
+  this->After(pause, &SourceWatch::Run);
+  this->events.on_failure(error);
 }
 
 }  // namespace boragepaddle::event
--- a/src/boragepaddle/event/source_watch.h
+++ b/src/boragepaddle/event/source_watch.h
@@ -6,20 +6,19 @@
 #include <cstdint>
 #include <functional>
 #include <string>
-#include <vector>
 
-#include "absl/container/btree_set.h"
 #include "absl/time/time.h"
 #include "boragepaddle/event/key_value_source.h"
+#include "boragepaddle/feed/replica.h"
 
 namespace boragepaddle::event {
 
 /// Times of a watch.
 struct SourceWatchSettings {
   /// Longest wait of one watch call.
-  absl::Duration wait = absl::Seconds(8);
-  /// Wait of the first watch after a failure, which shows that the source is
-  /// back.
+  absl::Duration wait = absl::Seconds(5);
+  /// Wait of the first watch after a start or a failure, which shows that the
+  /// source is there.
   absl::Duration first_wait = absl::Milliseconds(50);
   /// Pause after the first failure; doubles up to the longest.
   absl::Duration first_pause = absl::Milliseconds(100);
@@ -31,11 +30,8 @@
 
 /// What a watch tells its owner.
 struct SourceWatchEvents {
-  /// All changes of one answer; keys that vanished between two full reads come
-  /// as removed.
-  std::function<void(const std::vector<schema::KeyValue>&)> on_changes;
-  /// The first full read is complete.
-  std::function<void()> on_complete;
+  /// A full read, or the changes of one answer; may be without items.
+  std::function<void(feed::ReplicaPage)> on_page;
   std::function<void(const SourceError&)> on_failure;
   std::function<void()> on_recovery;
 };
@@ -50,22 +46,30 @@
               const SourceWatchSettings& settings,
               SourceWatchEvents events);
 
-  void Start();
+  /// Reads once, with a result that may be old, and does not watch.
+  void ReadOnce();
+  /// Follows the source until stopped.
+  void Follow();
+  void Stop();
 
   /// Asks again at once, because a connection may have died during a pause.
   void Restart();
 
-  bool complete() const { return this->read_in_full; }
-  bool failing() const { return this->failures > 0; }
+  /// Changes up to the revision are known from elsewhere.
+  void SkipTo(uint64_t revision);
 
  private:
+  enum class Mode : uint8_t { kStopped, kReadOnce, kFollow };
+
+  void Begin(Mode mode);
+  void Run();
   void ListPage(const std::string& after_key);
   void OnPage(SourcePage page);
   void FinishList();
   void WatchNext();
   /// Calls `next` after the pause, unless the watch is restarted meanwhile.
   void After(absl::Duration pause, void (SourceWatch::*next)());
-  void OnWatched(SourcePage page);
+  void OnWatched(uint64_t from, SourcePage page);
   void OnFailure(const SourceError& error);
   void OnSuccess();
 
@@ -74,17 +78,17 @@
   const SourceWatchSettings settings;
   SourceWatchEvents events;
   boost::asio::steady_timer timer;
-  /// Changes after this revision are not known yet; 0 before the first read.
+  Mode mode = Mode::kStopped;
+  /// Changes after this revision are not known yet.
   uint64_t revision = 0;
   bool must_list = true;
-  bool read_in_full = false;
+  /// No watch was answered since the start or the last failure.
+  bool unsure = true;
   uint32_t failures = 0;
   /// Grows with each restart, so that older callbacks are ignored.
   uint64_t epoch = 0;
-  absl::btree_set<std::string> known;
   /// A full read in progress.
-  std::vector<schema::KeyValue> listed;
-  uint64_t list_revision = 0;
+  feed::ReplicaPage listed;
 };
 
 }  // namespace boragepaddle::event
--- a/src/boragepaddle/platform/store_client.cc
+++ b/src/boragepaddle/platform/store_client.cc
@@ -75,12 +75,16 @@
 
 void StoreClient::List(absl::string_view prefix,
                        absl::string_view after_key,
+                       event::ReadMode mode,
                        Callback callback) {
   std::string target =
       absl::StrCat("/boragepaddle/kv-range?prefix=", QueryValue(prefix));
   if (!after_key.empty()) {
     absl::StrAppend(&target, "&after=", QueryValue(after_key));
   }
+  if (mode == event::ReadMode::kMaybeStale) {
+    absl::StrAppend(&target, "&serializable=1");
+  }
   this->http.Get(target, kReadTime,
                  [callback = std::move(callback)](event::HttpGetResult result) {
                    callback(DecodePage(result.status, result.body));
--- a/src/boragepaddle/platform/store_client.h
+++ b/src/boragepaddle/platform/store_client.h
@@ -15,6 +15,7 @@
 
   void List(absl::string_view prefix,
             absl::string_view after_key,
+            event::ReadMode mode,
             Callback callback) override;
   void Watch(absl::string_view prefix,
              uint64_t after_revision,
--- a/src/boragepaddle/platform/wire_names.cc
+++ b/src/boragepaddle/platform/wire_names.cc
@@ -33,7 +33,6 @@
 
 proxy::StoreDialect MakeStoreDialect() {
   proxy::StoreDialect dialect;
-  dialect.config_prefix = "op/";
   dialect.config_key = "op/config";
   dialect.worker_prefix = "servers/";
   dialect.decode_catalog = DecodeCatalog;
--- a/src/boragepaddle/proxy/dialect.h
+++ b/src/boragepaddle/proxy/dialect.h
@@ -41,8 +41,6 @@
 
 /// Keys and documents of the store that a deployment defines.
 struct StoreDialect {
-  /// Prefix of the keys that hold the configuration.
-  std::string config_prefix;
   /// Key of the newest configuration.
   std::string config_key;
   /// Prefix of the workers' entries.
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -29,10 +29,6 @@
 /// A gap between ticks that is taken for a pause of the process or the VM.
 constexpr absl::Duration kPauseGap = absl::Milliseconds(700);
 
-/// Pause in which changes of workers gather: a fraction of the time within
-/// which a leaving worker must get no more calls.
-constexpr absl::Duration kGatherWorkers = absl::Milliseconds(250);
-
 constexpr char kMetricsPath[] = "/metrics";
 
 absl::string_view KindName(StoreChange::Kind kind) {
@@ -57,12 +53,6 @@
   return {dialect.request_id, dialect.not_run};
 }
 
-event::SourceWatchSettings WorkerWatchSettings() {
-  event::SourceWatchSettings settings;
-  settings.gather = kGatherWorkers;
-  return settings;
-}
-
 StoreState MakeStore(const NodeSettings& settings,
                      const StoreDialect& dialect) {
   StoreState store;
@@ -111,16 +101,12 @@
                 [this](const std::shared_ptr<event::HttpExchange>& exchange) {
                   this->OnMetricsRequest(exchange);
                 }),
-      config_watch(loop,
-                   *this->parts.config_source,
-                   this->parts.store.config_prefix,
-                   event::SourceWatchSettings(),
-                   this->MakeWatchEvents("config")),
-      worker_watch(loop,
-                   *this->parts.worker_source,
-                   this->parts.store.worker_prefix,
-                   WorkerWatchSettings(),
-                   this->MakeWatchEvents("workers")),
+      feed(loop,
+           this->settings,
+           *this->parts.source,
+           this->peers,
+           log,
+           this->MakeFeedEvents()),
       timer(loop),
       started(event::BootNow()),
       last_tick(this->started),
@@ -155,8 +141,7 @@
   this->Listen(this->operators, absl::StrCat(this->settings.host, ":",
                                              this->settings.metrics_port));
   this->workers.SetWorker(*worker);
-  this->config_watch.Start();
-  this->worker_watch.Start();
+  this->feed.Start();
   this->ScheduleTick();
   this->log.State(LogLine("node", "started")
                       .Add("vm", this->settings.vm_id)
@@ -167,25 +152,13 @@
   return true;
 }
 
-event::SourceWatchEvents ProxyNode::MakeWatchEvents(const char* name) {
-  event::SourceWatchEvents events;
+StoreFeedEvents ProxyNode::MakeFeedEvents() {
+  StoreFeedEvents events;
   events.on_changes = [this](const std::vector<schema::KeyValue>& items) {
     this->ApplyChanges(items);
   };
-  events.on_complete = [this, name] {
-    this->log.State(LogLine("store", "read").Add("what", name));
-  };
-  events.on_failure = [this, name](const event::SourceError& error) {
-    catalog::OnSourceFailure(this->store.workers, event::BootNow());
-    this->log.State(LogLine("store", "lost")
-                        .Add("what", name)
-                        .Add("error", event::ToString(error.code))
-                        .Add("status", error.status));
-  };
-  events.on_recovery = [this, name] {
-    // Entries that lapsed meanwhile have from now on their time to return.
-    catalog::OnSourceFailure(this->store.workers, event::BootNow());
-    this->log.State(LogLine("store", "regained").Add("what", name));
+  events.on_outage = [this](absl::Time at) {
+    catalog::OnSourceFailure(this->store.workers, at);
   };
   return events;
 }
@@ -219,12 +192,14 @@
     limits.idle_timeout = bounds.idle_timeout;
     this->callers.SetLimits(limits);
   }
+  this->feed.SetHosts(this->store.workers);
   this->worker_side.OnDirectory();
   this->entry.OnDirectory();
 }
 
 bool ProxyNode::IsReady() const {
-  return this->stopping_since == absl::InfiniteFuture() && this->HasState();
+  return this->stopping_since == absl::InfiniteFuture() && this->HasState() &&
+         this->feed.IsSettled(event::BootNow());
 }
 
 void ProxyNode::OnReadyProbe(
@@ -255,6 +230,12 @@
       this->store.routes == nullptr
           ? 0
           : static_cast<double>(this->store.routes->revision));
+  this->metrics.SetGauge("feed_revision",
+                         static_cast<double>(this->feed.revision()));
+  this->metrics.SetGauge("feed_subscribers",
+                         static_cast<double>(this->feed.subscribers()));
+  this->metrics.SetGauge("feed_reads_store",
+                         this->feed.state().reading ? 1 : 0);
   this->metrics.SetGauge("ready", this->IsReady() ? 1 : 0);
   reply.status = 200;
   reply.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
@@ -285,6 +266,7 @@
   if (now - this->last_peer_tick >= kPeerTick) {
     this->last_peer_tick = now;
     this->peers.Tick(now);
+    this->feed.Tick(now);
   }
   if (now - this->last_slow_tick >= kSlowTick) {
     this->last_slow_tick = now;
@@ -292,7 +274,6 @@
     this->probes.Tick(now);
     this->operators.Tick(now);
     this->workers.Tick(now);
-    this->AskForCopy();
     if (catalog::ExpireWorkers(this->store.workers, now)) {
       this->OnStateChanged();
     }
@@ -312,8 +293,7 @@
       LogLine("node", "paused").Add("ms", absl::ToInt64Milliseconds(gap)));
   catalog::OnSourceFailure(this->store.workers, now);
   this->worker_side.OnPause();
-  this->config_watch.Restart();
-  this->worker_watch.Restart();
+  this->feed.OnPause(now);
 }
 
 void ProxyNode::Reload() {
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -12,13 +12,13 @@
 #include "absl/types/optional.h"
 #include "boragepaddle/event/http_server.h"
 #include "boragepaddle/event/key_value_source.h"
-#include "boragepaddle/event/source_watch.h"
 #include "boragepaddle/event/worker_pool.h"
 #include "boragepaddle/proxy/dialect.h"
 #include "boragepaddle/proxy/entry.h"
 #include "boragepaddle/proxy/node_settings.h"
 #include "boragepaddle/proxy/peer_network.h"
 #include "boragepaddle/proxy/stop_plan.h"
+#include "boragepaddle/proxy/store_feed.h"
 #include "boragepaddle/proxy/store_state.h"
 #include "boragepaddle/proxy/worker_side.h"
 #include "boragepaddle/telemetry/event_log.h"
@@ -30,9 +30,7 @@
 struct NodeParts {
   HttpDialect http;
   StoreDialect store;
-  /// Two sources, since each carries one read at a time.
-  std::unique_ptr<event::KeyValueSource> config_source;
-  std::unique_ptr<event::KeyValueSource> worker_source;
+  std::unique_ptr<event::KeyValueSource> source;
   /// Reads the settings again; empty if they cannot be read.
   std::function<absl::optional<NodeSettings>()> reload;
 };
@@ -58,7 +56,7 @@
  private:
   bool Listen(event::HttpServer& server, const std::string& address);
   PeerNetworkEvents MakePeerEvents();
-  event::SourceWatchEvents MakeWatchEvents(const char* name);
+  StoreFeedEvents MakeFeedEvents();
   void OnPeerMessage(const event::PeerChannelPtr& channel,
                      schema::Message& message);
   void OnPeerHello(const event::PeerChannelPtr& channel,
@@ -73,9 +71,6 @@
   void OnStateChanged();
   schema::PeerHello MakeHello() const;
   bool HasState() const;
-  bool WantsCopy() const;
-  /// Asks another node for its copy while the store cannot be read.
-  void AskForCopy();
   bool IsReady() const;
   void ScheduleTick();
   void Tick();
@@ -98,8 +93,7 @@
   event::HttpServer callers;
   event::HttpServer probes;
   event::HttpServer operators;
-  event::SourceWatch config_watch;
-  event::SourceWatch worker_watch;
+  StoreFeed feed;
   boost::asio::steady_timer timer;
   /// Worker-side ids of remote calls, by channel number and call id.
   absl::flat_hash_map<std::pair<uint64_t, uint64_t>, uint64_t> remote_calls;
--- a/src/boragepaddle/proxy/proxy_node_peers.cc
+++ b/src/boragepaddle/proxy/proxy_node_peers.cc
@@ -11,7 +11,6 @@
 namespace {
 
 using event::PeerChannelPtr;
-using telemetry::LogLine;
 
 /// Change of the grant, in thousandths, that is told at once, and the shortest
 /// and longest time between two notices.
@@ -19,9 +18,6 @@
 constexpr absl::Duration kGrantMinAge = absl::Milliseconds(100);
 constexpr absl::Duration kGrantMaxAge = absl::Milliseconds(400);
 
-/// Time in which a node that starts reads the store by itself.
-constexpr absl::Duration kReadTime = absl::Milliseconds(300);
-
 }  // namespace
 
 PeerNetworkEvents ProxyNode::MakePeerEvents() {
@@ -55,12 +51,8 @@
     this->OnPeerHello(channel, *hello);
   } else if (const auto* notice = std::get_if<schema::LoadNotice>(&message)) {
     this->entry.OnLoadNotice(channel->host, *notice);
-  } else if (const auto* copy = std::get_if<schema::StoreCopy>(&message)) {
-    this->log.State(LogLine("store", "copy_received")
-                        .Add("from", channel->host)
-                        .Add("config", copy->config_revision)
-                        .Add("workers", copy->directory_revision));
-    this->ApplyChanges(copy->items);
+  } else {
+    this->feed.OnMessage(channel, message);
   }
 }
 
@@ -70,19 +62,13 @@
   hello.host = this->settings.host;
   hello.service = this->settings.service;
   hello.incarnation = this->incarnation;
-  hello.config_revision =
-      this->store.routes == nullptr ? 0 : this->store.routes->revision;
-  hello.directory_revision = this->store.workers.revision;
-  hello.wants_copy = this->WantsCopy();
   return hello;
 }
 
 void ProxyNode::OnPeerHello(const PeerChannelPtr& channel,
                             const schema::PeerHello& hello) {
   channel->host = hello.host;
-  if (hello.wants_copy && this->HasState()) {
-    channel->Send(MakeStoreCopy(this->store));
-  }
+  this->feed.OnHello(channel);
   if (this->stopping_since != absl::InfiniteFuture()) {
     channel->Send(this->worker_side.Notice());
   }
@@ -128,6 +114,7 @@
   for (const uint64_t id : abandoned) {
     this->worker_side.Cancel(id);
   }
+  this->feed.OnChannelClosed(channel);
   this->entry.OnChannelClosed(channel);
 }
 
@@ -135,16 +122,6 @@
   return this->store.routes != nullptr && !this->store.workers.entries.empty();
 }
 
-bool ProxyNode::WantsCopy() const {
-  return !this->HasState() && event::BootNow() - this->started > kReadTime;
-}
-
-void ProxyNode::AskForCopy() {
-  if (this->WantsCopy()) {
-    this->peers.SendToOne(this->MakeHello());
-  }
-}
-
 // Every entry holds back root requests for services that it never calls
 // itself, so all nodes are told.
 void ProxyNode::TellGrant(absl::Time now) {
--- /dev/null
+++ b/src/boragepaddle/proxy/store_feed.h
@@ -0,0 +1,102 @@
+#ifndef BORAGEPADDLE_PROXY_STORE_FEED_H_
+#define BORAGEPADDLE_PROXY_STORE_FEED_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "boragepaddle/catalog/worker_directory.h"
+#include "boragepaddle/event/key_value_source.h"
+#include "boragepaddle/event/peer_channel.h"
+#include "boragepaddle/event/source_watch.h"
+#include "boragepaddle/feed/feed_plan.h"
+#include "boragepaddle/feed/replica.h"
+#include "boragepaddle/proxy/node_settings.h"
+#include "boragepaddle/proxy/peer_network.h"
+#include "boragepaddle/telemetry/event_log.h"
+
+namespace boragepaddle::proxy {
+
+/// What the feed tells its owner.
+struct StoreFeedEvents {
+  std::function<void(const std::vector<schema::KeyValue>&)> on_changes;
+  /// The store failed at this time.
+  std::function<void(absl::Time)> on_outage;
+};
+
+/// Keeps this node's copy of the store: reads the store if the plan says so,
+/// takes changes from other nodes, and passes them on.
+class StoreFeed {
+ public:
+  StoreFeed(boost::asio::io_context& loop,
+            const NodeSettings& settings,
+            event::KeyValueSource& source,
+            PeerNetwork& peers,
+            telemetry::EventLog& log,
+            StoreFeedEvents events);
+
+  void Start();
+  void Tick(absl::Time now);
+  void OnPause(absl::Time now);
+  void SetHosts(const catalog::WorkerDirectory& directory);
+
+  /// A frame of the feed came; false if the frame is of another kind.
+  bool OnMessage(const event::PeerChannelPtr& channel,
+                 const schema::Message& message);
+  /// Another node made itself known.
+  void OnHello(const event::PeerChannelPtr& channel);
+  void OnChannelClosed(const event::PeerChannelPtr& channel);
+
+  /// The copy was current once, or nothing better is to be had.
+  bool IsSettled(absl::Time now) const;
+
+  uint64_t revision() const { return this->replica.revision; }
+  size_t subscribers() const { return this->listeners.size(); }
+  const feed::FeedPlan& state() const { return this->plan; }
+
+ private:
+  event::SourceWatchEvents MakeWatchEvents();
+  /// Reads the store for the first hosts.
+  void LookForHosts(absl::Time now);
+  void OnStorePage(feed::ReplicaPage page);
+  void OnUpdate(const event::PeerChannelPtr& channel,
+                const schema::FeedUpdate& update);
+  feed::PageFault Apply(feed::ReplicaPage page, absl::string_view from);
+  void Perform(const feed::FeedActions& actions);
+  void Subscribe(const std::string& address);
+  void Unsubscribe(const std::string& address);
+  void Fetch(absl::Time now);
+  void TellOutage(absl::Time now);
+  /// Sends a notice to all that asked for it.
+  void TellAll(absl::Time now);
+  schema::FeedStamp Stamp(absl::Time now) const;
+
+  const NodeSettings& settings;
+  PeerNetwork& peers;
+  telemetry::EventLog& log;
+  StoreFeedEvents events;
+  std::mt19937_64 random;
+  feed::Replica replica;
+  feed::FeedPlan plan;
+  event::SourceWatch watch;
+  absl::Time started;
+  absl::Time looked_at = absl::InfinitePast();
+  bool was_current = false;
+  bool ever_current = false;
+  absl::Time told_at = absl::InfinitePast();
+  absl::Time outage_told = absl::InfinitePast();
+  /// Channels to the sources by their address.
+  absl::flat_hash_map<std::string, event::PeerChannelPtr> sources;
+  /// Channels that asked to be told, by their number.
+  absl::flat_hash_map<uint64_t, event::PeerChannelPtr> listeners;
+};
+
+}  // namespace boragepaddle::proxy
+
+#endif  // BORAGEPADDLE_PROXY_STORE_FEED_H_
--- a/src/boragepaddle/proxy/store_state.cc
+++ b/src/boragepaddle/proxy/store_state.cc
@@ -34,7 +34,6 @@
   change.detail = absl::StrCat("version=", routes->version,
                                " routes=", routes->routes.size());
   state.routes = std::move(routes);
-  state.items[item.key] = item;
   return change;
 }
 
@@ -44,8 +43,8 @@
   StoreChange change{Kind::kWorkerRemoved, item.key, item.revision, ""};
   const std::string instance =
       item.key.substr(state.dialect.worker_prefix.size());
-  const auto known = state.items.find(item.key);
-  if (!item.removed && known != state.items.end() &&
+  const auto known = state.workers.entries.find(instance);
+  if (!item.removed && known != state.workers.entries.end() &&
       known->second.revision == item.revision) {
     change.kind = Kind::kUnchanged;
     catalog::ConfirmWorker(state.workers, instance);
@@ -62,7 +61,6 @@
                        " draining=", entry.draining, " slots=", entry.slots,
                        " cold_s=", absl::ToDoubleSeconds(entry.cold_remaining));
       catalog::PutWorker(state.workers, std::move(entry), now);
-      state.items[item.key] = item;
       return change;
     }
     change.kind = Kind::kEntryIgnored;
@@ -70,7 +68,6 @@
   }
   // A damaged entry names no worker either.
   catalog::RemoveWorker(state.workers, instance, item.revision, now);
-  state.items.erase(item.key);
   return change;
 }
 
@@ -91,14 +88,4 @@
   return applied;
 }
 
-schema::StoreCopy MakeStoreCopy(const StoreState& state) {
-  schema::StoreCopy copy;
-  copy.config_revision = state.routes == nullptr ? 0 : state.routes->revision;
-  copy.directory_revision = state.workers.revision;
-  for (const auto& [key, item] : state.items) {
-    copy.items.push_back(item);
-  }
-  return copy;
-}
-
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/store_state.h
+++ b/src/boragepaddle/proxy/store_state.h
@@ -6,7 +6,6 @@
 #include <string>
 #include <vector>
 
-#include "absl/container/btree_map.h"
 #include "absl/time/time.h"
 #include "boragepaddle/catalog/route_catalog.h"
 #include "boragepaddle/catalog/worker_directory.h"
@@ -37,8 +36,6 @@
   /// Null before the first configuration.
   std::shared_ptr<const catalog::RouteCatalog> routes;
   catalog::WorkerDirectory workers;
-  /// Items in force as they were read, for nodes that cannot read them.
-  absl::btree_map<std::string, schema::KeyValue> items;
 };
 
 /// Applies items in the order of their revisions. An older configuration never
@@ -48,9 +45,6 @@
     const std::vector<schema::KeyValue>& changes,
     absl::Time now);
 
-/// Copy for a node that started without the store.
-schema::StoreCopy MakeStoreCopy(const StoreState& state);
-
 }  // namespace boragepaddle::proxy
 
 #endif  // BORAGEPADDLE_PROXY_STORE_STATE_H_
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -175,6 +175,16 @@
   return !(a == b);
 }
 
+bool operator==(const FeedStamp& a, const FeedStamp& b) {
+  return a.revision == b.revision && a.digest == b.digest &&
+         a.age_us == b.age_us && a.outage_age_us == b.outage_age_us &&
+         a.origin == b.origin;
+}
+
+bool operator!=(const FeedStamp& a, const FeedStamp& b) {
+  return !(a == b);
+}
+
 bool operator==(const GateLoad& a, const GateLoad& b) {
   return a.running == b.running && a.queued == b.queued && a.limit == b.limit &&
          a.grant == b.grant && a.mean_us == b.mean_us;
@@ -383,10 +393,7 @@
 
 bool operator==(const PeerHello& a, const PeerHello& b) {
   return a.vm_id == b.vm_id && a.host == b.host && a.service == b.service &&
-         a.incarnation == b.incarnation &&
-         a.config_revision == b.config_revision &&
-         a.directory_revision == b.directory_revision &&
-         a.wants_copy == b.wants_copy;
+         a.incarnation == b.incarnation;
 }
 
 bool operator!=(const PeerHello& a, const PeerHello& b) {
@@ -409,12 +416,36 @@
   return !(a == b);
 }
 
-bool operator==(const StoreCopy& a, const StoreCopy& b) {
-  return a.config_revision == b.config_revision &&
-         a.directory_revision == b.directory_revision && a.items == b.items;
+bool operator==(const FeedSubscribe& a, const FeedSubscribe& b) {
+  return a.active == b.active;
+}
+
+bool operator!=(const FeedSubscribe& a, const FeedSubscribe& b) {
+  return !(a == b);
+}
+
+bool operator==(const FeedNotice& a, const FeedNotice& b) {
+  return a.stamp == b.stamp;
+}
+
+bool operator!=(const FeedNotice& a, const FeedNotice& b) {
+  return !(a == b);
+}
+
+bool operator==(const FeedFetch& a, const FeedFetch& b) {
+  return a.after_revision == b.after_revision && a.whole == b.whole;
 }
 
-bool operator!=(const StoreCopy& a, const StoreCopy& b) {
+bool operator!=(const FeedFetch& a, const FeedFetch& b) {
+  return !(a == b);
+}
+
+bool operator==(const FeedUpdate& a, const FeedUpdate& b) {
+  return a.stamp == b.stamp && a.from_revision == b.from_revision &&
+         a.whole == b.whole && a.items == b.items;
+}
+
+bool operator!=(const FeedUpdate& a, const FeedUpdate& b) {
   return !(a == b);
 }
 
@@ -518,6 +549,25 @@
   return reader.ok();
 }
 
+void Pack(Packer& packer, const FeedStamp& value) {
+  packer.pack_array(5);
+  Pack(packer, value.revision);
+  Pack(packer, value.digest);
+  Pack(packer, value.age_us);
+  Pack(packer, value.outage_age_us);
+  Pack(packer, value.origin);
+}
+
+bool Unpack(const msgpack::object& object, FeedStamp* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->revision);
+  reader.Next(&value->digest);
+  reader.Next(&value->age_us);
+  reader.Next(&value->outage_age_us);
+  reader.Next(&value->origin);
+  return reader.ok();
+}
+
 void Pack(Packer& packer, const GateLoad& value) {
   packer.pack_array(5);
   Pack(packer, value.running);
@@ -938,14 +988,11 @@
 }
 
 void Pack(Packer& packer, const PeerHello& value) {
-  packer.pack_array(7);
+  packer.pack_array(4);
   Pack(packer, value.vm_id);
   Pack(packer, value.host);
   Pack(packer, value.service);
   Pack(packer, value.incarnation);
-  Pack(packer, value.config_revision);
-  Pack(packer, value.directory_revision);
-  Pack(packer, value.wants_copy);
 }
 
 bool Unpack(const msgpack::object& object, PeerHello* value) {
@@ -954,9 +1001,6 @@
   reader.Next(&value->host);
   reader.Next(&value->service);
   reader.Next(&value->incarnation);
-  reader.Next(&value->config_revision);
-  reader.Next(&value->directory_revision);
-  reader.Next(&value->wants_copy);
   return reader.ok();
 }
 
@@ -986,17 +1030,54 @@
   return reader.ok();
 }
 
-void Pack(Packer& packer, const StoreCopy& value) {
-  packer.pack_array(3);
-  Pack(packer, value.config_revision);
-  Pack(packer, value.directory_revision);
+void Pack(Packer& packer, const FeedSubscribe& value) {
+  packer.pack_array(1);
+  Pack(packer, value.active);
+}
+
+bool Unpack(const msgpack::object& object, FeedSubscribe* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->active);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const FeedNotice& value) {
+  packer.pack_array(1);
+  Pack(packer, value.stamp);
+}
+
+bool Unpack(const msgpack::object& object, FeedNotice* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->stamp);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const FeedFetch& value) {
+  packer.pack_array(2);
+  Pack(packer, value.after_revision);
+  Pack(packer, value.whole);
+}
+
+bool Unpack(const msgpack::object& object, FeedFetch* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->after_revision);
+  reader.Next(&value->whole);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const FeedUpdate& value) {
+  packer.pack_array(4);
+  Pack(packer, value.stamp);
+  Pack(packer, value.from_revision);
+  Pack(packer, value.whole);
   Pack(packer, value.items);
 }
 
-bool Unpack(const msgpack::object& object, StoreCopy* value) {
+bool Unpack(const msgpack::object& object, FeedUpdate* value) {
   ArrayReader reader(object);
-  reader.Next(&value->config_revision);
-  reader.Next(&value->directory_revision);
+  reader.Next(&value->stamp);
+  reader.Next(&value->from_revision);
+  reader.Next(&value->whole);
   reader.Next(&value->items);
   return reader.ok();
 }
@@ -1057,8 +1138,14 @@
       return DecodeAs<LoadNotice>(fields);
     case 35:
       return DecodeAs<Heartbeat>(fields);
-    case 36:
-      return DecodeAs<StoreCopy>(fields);
+    case 37:
+      return DecodeAs<FeedSubscribe>(fields);
+    case 38:
+      return DecodeAs<FeedNotice>(fields);
+    case 39:
+      return DecodeAs<FeedFetch>(fields);
+    case 40:
+      return DecodeAs<FeedUpdate>(fields);
     default:
       return DecodeError{DecodeErrorCode::kUnknownKind};
   }
@@ -1152,8 +1239,20 @@
   return 35;
 }
 
-uint32_t KindOf(const StoreCopy& /*message*/) {
-  return 36;
+uint32_t KindOf(const FeedSubscribe& /*message*/) {
+  return 37;
+}
+
+uint32_t KindOf(const FeedNotice& /*message*/) {
+  return 38;
+}
+
+uint32_t KindOf(const FeedFetch& /*message*/) {
+  return 39;
+}
+
+uint32_t KindOf(const FeedUpdate& /*message*/) {
+  return 40;
 }
 
 std::string Encode(const Message& message) {
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -163,6 +163,24 @@
 bool operator==(const KeyValue& a, const KeyValue& b);
 bool operator!=(const KeyValue& a, const KeyValue& b);
 
+/// What a node's copy of the store is worth.
+struct FeedStamp {
+  /// All changes up to it are applied; 0 if nothing is known.
+  uint64_t revision = 0;
+  /// Of the keys and revisions of all items.
+  uint64_t digest = 0;
+  /// Time since the copy was the store's newest, in microseconds; -1 if not
+  /// known.
+  int64_t age_us = 0;
+  /// Time since the store failed last, in microseconds; -1 if it did not.
+  int64_t outage_age_us = 0;
+  /// Host whose read of the store the age is from; empty if not known.
+  std::string origin;
+};
+/// Compares all fields.
+bool operator==(const FeedStamp& a, const FeedStamp& b);
+bool operator!=(const FeedStamp& a, const FeedStamp& b);
+
 /// Load of the worker beside a node.
 struct GateLoad {
   uint32_t running = 0;
@@ -483,12 +501,6 @@
   std::string service;
   /// Random per process start.
   uint64_t incarnation = 0;
-  /// 0 if none is known.
-  uint64_t config_revision = 0;
-  /// 0 if none is known.
-  uint64_t directory_revision = 0;
-  /// The sender cannot read the store and asks for a copy.
-  bool wants_copy = false;
 };
 /// Compares all fields.
 bool operator==(const PeerHello& a, const PeerHello& b);
@@ -513,15 +525,44 @@
 bool operator==(const Heartbeat& a, const Heartbeat& b);
 bool operator!=(const Heartbeat& a, const Heartbeat& b);
 
-/// Items of the store, for a node that cannot read them.
-struct StoreCopy {
-  uint64_t config_revision = 0;
-  uint64_t directory_revision = 0;
+/// Asks to be told of each change of the store, or not any longer.
+struct FeedSubscribe {
+  bool active = false;
+};
+/// Compares all fields.
+bool operator==(const FeedSubscribe& a, const FeedSubscribe& b);
+bool operator!=(const FeedSubscribe& a, const FeedSubscribe& b);
+
+/// State of the sender's copy: after each change, and at a steady pace.
+struct FeedNotice {
+  FeedStamp stamp;
+};
+/// Compares all fields.
+bool operator==(const FeedNotice& a, const FeedNotice& b);
+bool operator!=(const FeedNotice& a, const FeedNotice& b);
+
+/// Asks for changes of the store.
+struct FeedFetch {
+  uint64_t after_revision = 0;
+  /// Asks for all items instead.
+  bool whole = false;
+};
+/// Compares all fields.
+bool operator==(const FeedFetch& a, const FeedFetch& b);
+bool operator!=(const FeedFetch& a, const FeedFetch& b);
+
+/// Answers a FeedFetch.
+struct FeedUpdate {
+  FeedStamp stamp;
+  /// The items changed after this revision.
+  uint64_t from_revision = 0;
+  /// Keys that are not among the items no longer exist.
+  bool whole = false;
   std::vector<KeyValue> items;
 };
 /// Compares all fields.
-bool operator==(const StoreCopy& a, const StoreCopy& b);
-bool operator!=(const StoreCopy& a, const StoreCopy& b);
+bool operator==(const FeedUpdate& a, const FeedUpdate& b);
+bool operator!=(const FeedUpdate& a, const FeedUpdate& b);
 
 /// Any message between nodes.
 using Message = std::variant<Hello,
@@ -546,7 +587,10 @@
                              PeerHello,
                              LoadNotice,
                              Heartbeat,
-                             StoreCopy>;
+                             FeedSubscribe,
+                             FeedNotice,
+                             FeedFetch,
+                             FeedUpdate>;
 
 /// Encodes a message as a msgpack array of its kind and its fields.
 std::string Encode(const Message& message);
--- /dev/null
+++ b/tests/unit/feed/feed_fleet.h
@@ -0,0 +1,83 @@
+#ifndef BORAGEPADDLE_TESTS_UNIT_FEED_FEED_FLEET_H_
+#define BORAGEPADDLE_TESTS_UNIT_FEED_FEED_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "boragepaddle/feed/feed_plan.h"
+#include "boragepaddle/feed/replica.h"
+
+namespace boragepaddle::feed {
+
+/// The store: changes in the order of their revisions.
+struct StoreModel {
+  Replica content;
+  bool down = false;
+};
+
+/// One node as its decision functions, with the store's client simplified.
+struct NodeModel {
+  FeedPlan plan;
+  Replica replica;
+  /// Takes no part: frozen, or dead.
+  bool frozen = false;
+  /// The store answers it.
+  bool reaches_store = true;
+  bool follows = false;
+  absl::Time next_call;
+  absl::Time call_until;
+  uint32_t failures = 0;
+  absl::Time told_at = absl::InfinitePast();
+  bool was_current = false;
+  std::set<size_t> listeners;
+  uint64_t sent_bytes = 0;
+};
+
+/// Several nodes, a store and the messages between them on one clock.
+struct FeedFleet {
+  /// Hosts are spread over the zones; their copies are empty.
+  FeedFleet(size_t nodes, size_t zones, uint64_t seed);
+
+  void RunFor(absl::Duration time);
+  /// Writes a key of the store.
+  void Put(const std::string& key);
+  void Remove(const std::string& key);
+  /// Nodes whose items differ from the store's, frozen ones apart.
+  size_t Outdated() const;
+  /// Time until no node is outdated, at most the bound; infinite if longer.
+  absl::Duration TimeToAgree(absl::Duration bound);
+  std::vector<size_t> Readers() const;
+  size_t Reading() const;
+
+  StoreModel store;
+  std::vector<NodeModel> nodes;
+  std::map<std::string, size_t> by_address;
+  absl::Time now;
+  uint64_t store_calls = 0;
+  uint64_t messages = 0;
+
+ private:
+  void Step();
+  void CallStore(NodeModel& node);
+  void Tick(size_t index);
+  void Fetch(size_t index);
+  void TellAll(size_t index);
+  void Apply(size_t index, ReplicaPage page);
+  void Deliver(size_t to, std::function<void()> action);
+  void SendStamp(size_t from, size_t to);
+  schema::FeedStamp StampOf(const NodeModel& node) const;
+  const std::string& AddressOf(size_t index) const;
+
+  std::mt19937_64 random;
+  std::multimap<absl::Time, std::pair<size_t, std::function<void()>>> queue;
+  absl::Time last_tick;
+};
+
+}  // namespace boragepaddle::feed
+
+#endif  // BORAGEPADDLE_TESTS_UNIT_FEED_FEED_FLEET_H_
--- a/tools/mesh/platform_standins.py
+++ b/tools/mesh/platform_standins.py
@@ -30,6 +30,13 @@
         self.events = []
         self.compacted = 0
         self.down = False
+        self.host = host
+        # Servers that answer nothing but refusals, by their address.
+        self.refusing = set()
+        self.server, self.address = self.open_address()
+
+    def open_address(self):
+        """Serves the same content at one more address."""
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -41,9 +48,20 @@
             def do_GET(self):
                 store.answer(self)
 
-        self.server = _Server((host, 0), Handler)
-        self.address = "%s:%d" % self.server.server_address
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        server = _Server((self.host, 0), Handler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return server, "%s:%d" % server.server_address
+
+    def refuse_at(self, address, refuse):
+        with self.condition:
+            if refuse:
+                self.refusing.add(address)
+            else:
+                self.refusing.discard(address)
+            self.condition.notify_all()
+
+    def is_down_for(self, handler):
+        return self.down or "%s:%d" % handler.server.server_address in self.refusing
 
     def put(self, key, document):
         with self.condition:
@@ -76,8 +94,8 @@
 
     def answer(self, handler):
         url = urllib.parse.urlsplit(handler.path)
-        query = dict(urllib.parse.parse_qsl(url.query))
-        if self.down:
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        if self.is_down_for(handler):
             return self._send(handler, 503, {})
         if url.path == "/boragepaddle/kv-range":
             return self._range(handler, query)
@@ -98,7 +116,7 @@
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.condition:
             while True:
-                if self.down:
+                if self.is_down_for(handler):
                     status, body = 503, {}
                     break
                 if after < self.compacted:
