Bound what answers of a worker may hold; never reuse a connection after a refusal without an id

Answers are now read in parts; over all connections a quarter of the memory is the bound, and the largest unfinished answer is given up. - 1xx heads were read on without a bound in number; 16 now. - Ids of earlier requests of a connection are bounded at 1,024.

Ruled out: heads without end (the parser's own limit ends them).

--- a/src/boragepaddle/event/worker_connection.cc
+++ b/src/boragepaddle/event/worker_connection.cc
@@ -21,6 +21,12 @@
 /// Largest answer that is taken from a worker.
 constexpr uint64_t kMaxAnswerBytes = 64u << 20;
 
+/// Interim answers (1xx) before one answer.
+constexpr uint32_t kMaxInterimAnswers = 16;
+
+/// Ids of earlier requests that are kept.
+constexpr size_t kMaxEarlier = 1024;
+
 /// Late answers to earlier requests that are read over.
 constexpr uint32_t kMaxSkippedAnswers = 3;
 
@@ -80,6 +86,7 @@
   this->sent_any = false;
   this->written = false;
   this->skipped = 0;
+  this->interim = 0;
   this->request.emplace();
   this->request->version(kHttp11);
   this->request->method_string(ToBeast(message.method));
@@ -131,14 +138,43 @@
 void WorkerConnection::Read() {
   this->parser.emplace();
   this->parser->body_limit(kMaxAnswerBytes);
+  this->parser->eager(true);
   if (this->request->method() == http::verb::head) {
     this->parser->skip(true);
   }
+  this->ReadSome();
+}
+
+// In parts, so that answers without end are noticed by what they hold of the
+// memory and not by the largest answer that is allowed.
+void WorkerConnection::ReadSome() {
   auto self = this->shared_from_this();
-  http::async_read(this->socket, this->buffer, *this->parser,
-                   [self](const boost::system::error_code& error, size_t) {
-                     self->OnRead(error);
-                   });
+  http::async_read_some(
+      this->socket, this->buffer, *this->parser,
+      [self](const boost::system::error_code& error, size_t) {
+        if (error || self->closed || self->is_idle || self->parser->is_done()) {
+          self->OnRead(error);
+          return;
+        }
+        self->Account();
+        if (!self->closed) {
+          self->ReadSome();
+        }
+      });
+}
+
+void WorkerConnection::Account() {
+  const uint64_t before = this->held;
+  this->held = this->parser->get().body().size() + this->buffer.size();
+  this->pool.OnHeld(before, this->held);
+}
+
+void WorkerConnection::GiveUpAnswer() {
+  if (this->closed || !this->done) {
+    return;
+  }
+  this->Finish(WorkerResult{WorkerEnd::kSpoiled, 0, {}, {}},
+               /*reusable=*/false);
 }
 
 void WorkerConnection::OnRead(const boost::system::error_code& error) {
@@ -167,6 +203,10 @@
 void WorkerConnection::OnAnswer() {
   const auto& message = this->parser->get();
   if (message.result_int() / 100 == 1) {
+    if (++this->interim > kMaxInterimAnswers) {
+      this->GiveUpAnswer();
+      return;
+    }
     this->Read();
     return;
   }
@@ -191,8 +231,12 @@
   result.end = not_run ? WorkerEnd::kNotRun : WorkerEnd::kAnswered;
   result.status = message.result_int();
   result.fields = CopyFields(message);
+  // A refusal without an id fits any request. So that a late second one is not
+  // taken for the refusal of a request that runs, nothing follows on its
+  // connection.
   const bool reusable = message.keep_alive() && this->written &&
-                        !message.need_eof() && this->buffer.size() == 0;
+                        !message.need_eof() && this->buffer.size() == 0 &&
+                        !answered.empty();
   this->reuse_until = BootNow() + IdleTime(message) - kIdleMargin;
   result.body = std::move(this->parser->get().body());
   this->Finish(std::move(result), reusable);
@@ -202,6 +246,11 @@
   auto self = this->shared_from_this();
   WorkerPool::Done callback = std::move(this->done);
   this->done = nullptr;
+  this->pool.OnHeld(this->held, 0);
+  this->held = 0;
+  if (this->earlier.size() >= kMaxEarlier) {
+    this->earlier.clear();
+  }
   this->earlier.insert(this->request_id);
   if (reusable) {
     this->request.reset();
--- a/src/boragepaddle/event/worker_connection.h
+++ b/src/boragepaddle/event/worker_connection.h
@@ -24,12 +24,15 @@
   void Run(uint64_t id, WorkerRequest request, WorkerPool::Done done);
   /// Ends the request in progress.
   void Cancel();
+  /// Gives up the answer in progress, which is too large.
+  void GiveUpAnswer();
   /// Closes without a result; only while idle.
   void Close();
   /// Watches an idle connection for bytes or a close by the worker.
   void WatchIdle();
 
   uint64_t id() const { return this->call_id; }
+  uint64_t held_bytes() const { return this->held; }
   const Tcp::endpoint& worker() const { return this->endpoint; }
   /// When an idle connection must not be used any more.
   absl::Time usable_until() const { return this->reuse_until; }
@@ -42,6 +45,9 @@
   void Connect();
   void Write();
   void Read();
+  void ReadSome();
+  /// Tells the pool how much of the answer is held.
+  void Account();
   void OnRead(const boost::system::error_code& error);
   void OnAnswer();
   void Finish(WorkerResult result, bool reusable);
@@ -65,6 +71,9 @@
   bool closed = false;
   bool is_idle = false;
   uint32_t skipped = 0;
+  uint32_t interim = 0;
+  /// Bytes of the unfinished answer, as the pool counts them.
+  uint64_t held = 0;
   absl::Time reuse_until;
 };
 
--- a/src/boragepaddle/event/worker_pool.cc
+++ b/src/boragepaddle/event/worker_pool.cc
@@ -75,6 +75,21 @@
   connection->Close();
 }
 
+void WorkerPool::OnHeld(uint64_t before, uint64_t now) {
+  this->held_bytes = this->held_bytes - before + now;
+  if (now <= before || this->held_bytes <= this->max_held_bytes) {
+    return;
+  }
+  const auto largest = std::max_element(
+      this->busy.begin(), this->busy.end(), [](const auto& a, const auto& b) {
+        return a.second->held_bytes() < b.second->held_bytes();
+      });
+  if (largest != this->busy.end()) {
+    const auto connection = largest->second;
+    connection->GiveUpAnswer();
+  }
+}
+
 void WorkerPool::Forget(const std::shared_ptr<WorkerConnection>& connection) {
   this->busy.erase(connection->id());
   const auto found =
--- a/src/boragepaddle/event/worker_pool.h
+++ b/src/boragepaddle/event/worker_pool.h
@@ -69,6 +69,9 @@
   /// The worker's address. Idle connections to another address are closed.
   void SetWorker(const Tcp::endpoint& endpoint);
 
+  /// Bound on the bytes of unfinished answers over all connections.
+  void SetMaxHeldBytes(uint64_t bytes) { this->max_held_bytes = bytes; }
+
   /// Sends the request and calls `done` once, never from within Send.
   void Send(uint64_t id, WorkerRequest request, Done done);
 
@@ -88,6 +91,9 @@
   void Dispatch(uint64_t id, WorkerRequest request, Done done);
   void Release(const std::shared_ptr<WorkerConnection>& connection);
   void Forget(const std::shared_ptr<WorkerConnection>& connection);
+  /// A connection holds `now` instead of `before` bytes of an answer. Gives up
+  /// the largest answer if all together are too large.
+  void OnHeld(uint64_t before, uint64_t now);
 
   boost::asio::io_context& loop;
   const WorkerFieldNames names;
@@ -96,6 +102,8 @@
   std::vector<std::shared_ptr<WorkerConnection>> idle;
   absl::flat_hash_map<uint64_t, std::shared_ptr<WorkerConnection>> busy;
   uint64_t opened_count = 0;
+  uint64_t held_bytes = 0;
+  uint64_t max_held_bytes = 64u << 20;
 };
 
 }  // namespace boragepaddle::event
--- a/tests/unit/platform_path/http_test.cc
+++ b/tests/unit/platform_path/http_test.cc
@@ -13,12 +13,11 @@
 #include "boragepaddle/event/clock.h"
 #include "boragepaddle/event/http_server.h"
 #include "boragepaddle/event/worker_pool.h"
+#include "tests/unit/platform_path/scripted_worker.h"
 
 namespace boragepaddle::event {
 namespace {
 
-const Tcp::endpoint kLoopback(boost::asio::ip::address_v4::loopback(), 0);
-
 /// A server that answers with the request's body, and a blocking client.
 struct EchoServer {
   boost::asio::io_context loop{1};
@@ -139,70 +138,6 @@
   CHECK(echo.abandoned == 1);
 }
 
-/// A worker that writes scripted bytes after each request.
-struct ScriptedWorker {
-  boost::asio::io_context loop{1};
-  Tcp::acceptor acceptor{loop, kLoopback};
-  std::vector<std::string> scripts;
-  int connections = 0;
-
-  /// Runs `count` requests through a pool, one after the other.
-  std::vector<WorkerResult> Run(size_t count) {
-    std::thread worker([this] { this->Serve(); });
-    std::vector<WorkerResult> results;
-    WorkerPool pool(this->loop, {"Id", "Not-Run"});
-    pool.SetWorker(this->acceptor.local_endpoint());
-    std::function<void()> next = [&] {
-      if (results.size() == count) {
-        this->loop.stop();
-        return;
-      }
-      WorkerRequest request;
-      request.request_id = "r" + std::to_string(results.size());
-      request.method = "GET";
-      request.target = "/";
-      request.host = "h";
-      pool.Send(results.size() + 1, request, [&](WorkerResult result) {
-        results.push_back(std::move(result));
-        next();
-      });
-    };
-    next();
-    const auto work = boost::asio::make_work_guard(this->loop);
-    this->loop.run();
-    worker.join();
-    return results;
-  }
-
-  void Serve() {
-    boost::asio::io_context own;
-    Tcp::acceptor listener(own, Tcp::v4(), dup(this->acceptor.native_handle()));
-    size_t script = 0;
-    while (script < this->scripts.size()) {
-      Tcp::socket socket = listener.accept();
-      ++this->connections;
-      while (script < this->scripts.size()) {
-        char byte = 0;
-        std::string head;
-        boost::system::error_code error;
-        while (!absl::EndsWith(head, "\r\n\r\n") &&
-               boost::asio::read(socket, boost::asio::buffer(&byte, 1),
-                                 error) == 1) {
-          head.push_back(byte);
-        }
-        if (error) {
-          break;
-        }
-        const std::string& text = this->scripts[script++];
-        boost::asio::write(socket, boost::asio::buffer(text), error);
-        if (absl::StrContains(text, "close")) {
-          break;
-        }
-      }
-    }
-  }
-};
-
 constexpr char kWhole[] =
     "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 2\r\n\r\nok";
 
--- /dev/null
+++ b/tests/unit/platform_path/scripted_worker.h
@@ -0,0 +1,109 @@
+#ifndef BORAGEPADDLE_TESTS_UNIT_PLATFORM_PATH_SCRIPTED_WORKER_H_
+#define BORAGEPADDLE_TESTS_UNIT_PLATFORM_PATH_SCRIPTED_WORKER_H_
+
+#include <unistd.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "boragepaddle/event/worker_pool.h"
+
+namespace boragepaddle::event {
+
+inline const Tcp::endpoint kLoopback(boost::asio::ip::address_v4::loopback(),
+                                     0);
+
+/// A worker that writes scripted bytes after each request.
+struct ScriptedWorker {
+  boost::asio::io_context loop{1};
+  Tcp::acceptor acceptor{loop, kLoopback};
+  std::vector<std::string> scripts;
+  /// Written after the last script, again and again until the pool closes.
+  std::string endless;
+  uint64_t endless_bytes = 0;
+  /// Bytes of unfinished answers that the pool may hold.
+  uint64_t max_held = 64u << 20;
+  int connections = 0;
+
+  /// Runs `count` requests through a pool, one after the other.
+  std::vector<WorkerResult> Run(size_t count) {
+    std::thread worker([this] { this->Serve(); });
+    std::vector<WorkerResult> results;
+    WorkerPool pool(this->loop, {"Id", "Not-Run"});
+    pool.SetWorker(this->acceptor.local_endpoint());
+    pool.SetMaxHeldBytes(this->max_held);
+    std::function<void()> next = [&] {
+      if (results.size() == count) {
+        this->loop.stop();
+        return;
+      }
+      WorkerRequest request;
+      request.request_id = "r" + std::to_string(results.size());
+      request.method = "GET";
+      request.target = "/";
+      request.host = "h";
+      pool.Send(results.size() + 1, request, [&](WorkerResult result) {
+        results.push_back(std::move(result));
+        next();
+      });
+    };
+    next();
+    const auto work = boost::asio::make_work_guard(this->loop);
+    this->loop.run();
+    worker.join();
+    return results;
+  }
+
+  void WriteOn(Tcp::socket& socket, size_t script) {
+    // Far more than any test lets the pool take.
+    constexpr uint64_t kMost = 256u << 20;
+    boost::system::error_code error;
+    while (script == this->scripts.size() && !this->endless.empty() && !error &&
+           this->endless_bytes < kMost) {
+      this->endless_bytes +=
+          boost::asio::write(socket, boost::asio::buffer(this->endless), error);
+    }
+  }
+
+  void Serve() {
+    boost::asio::io_context own;
+    Tcp::acceptor listener(own, Tcp::v4(), dup(this->acceptor.native_handle()));
+    size_t script = 0;
+    while (script < this->scripts.size()) {
+      Tcp::socket socket = listener.accept();
+      ++this->connections;
+      while (script < this->scripts.size()) {
+        char byte = 0;
+        std::string head;
+        boost::system::error_code error;
+        while (!absl::EndsWith(head, "\r\n\r\n") &&
+               boost::asio::read(socket, boost::asio::buffer(&byte, 1),
+                                 error) == 1) {
+          head.push_back(byte);
+        }
+        if (error) {
+          break;
+        }
+        const std::string& text = this->scripts[script++];
+        boost::asio::write(socket, boost::asio::buffer(text), error);
+        this->WriteOn(socket, script);
+        if (absl::StrContains(text, "close")) {
+          break;
+        }
+      }
+    }
+  }
+};
+
+}  // namespace boragepaddle::event
+
+#endif  // BORAGEPADDLE_TESTS_UNIT_PLATFORM_PATH_SCRIPTED_WORKER_H_
