Pause accepting without descriptors; survive handlers that throw

Cause 1 (found by reading): HttpServer and PeerNetwork accepted again at once after any error, so a node out of descriptors spun. Cause 2 (operators' trouble): an exception of a library in one handler ended the process with all requests in it. event/guarded_run goes on; a peer channel whose frame failed is closed; timers are armed before the work of a turn.

--- a/src/apps/boragepaddle_sidecar.cc
+++ b/src/apps/boragepaddle_sidecar.cc
@@ -13,6 +13,7 @@
 
 #include "absl/strings/str_join.h"
 #include "absl/types/optional.h"
+#include "boragepaddle/event/guarded_run.h"
 #include "boragepaddle/platform/boot_settings.h"
 #include "boragepaddle/platform/store_client.h"
 #include "boragepaddle/platform/wire_names.h"
@@ -115,16 +116,18 @@
       if (error) {
         return;
       }
+      wait_signal();
       if (signal == SIGHUP) {
         node.Reload();
       } else {
         node.StartStopping();
       }
-      wait_signal();
     });
   };
   wait_signal();
-  loop.run();
+  bp::event::GuardedRun(loop, [&log](absl::string_view what) {
+    log.State(LogLine("node", "handler_failed").Add("what", what));
+  });
   // Nothing is left to be written, and the log library waits for threads of
   // its own when it is taken down.
   std::_Exit(kExitOk);
--- a/src/boragepaddle/event/http_server.cc
+++ b/src/boragepaddle/event/http_server.cc
@@ -3,7 +3,6 @@
 #include <utility>
 #include <vector>
 
-#include "boragepaddle/event/open_listener.h"
 #include "boragepaddle/event/server_connection.h"
 
 namespace boragepaddle::event {
@@ -17,32 +16,25 @@
 }  // namespace
 
 HttpServer::HttpServer(boost::asio::io_context& loop, Handler handler)
-    : loop(loop), handler(std::move(handler)), acceptor(loop) {}
+    : loop(loop),
+      handler(std::move(handler)),
+      listener(loop,
+               [this](Tcp::socket socket) { this->Take(std::move(socket)); }) {}
 
 HttpServer::~HttpServer() = default;
 
 boost::system::error_code HttpServer::Listen(const Tcp::endpoint& endpoint) {
-  const auto error = OpenListener(this->acceptor, endpoint, kListenBacklog);
-  if (!error) {
-    this->Accept();
-  }
-  return error;
+  return this->listener.Listen(endpoint, kListenBacklog);
 }
 
-void HttpServer::Accept() {
-  this->acceptor.async_accept([this](const boost::system::error_code& error,
-                                     Tcp::socket socket) {
-    if (this->stopped) {
-      return;
-    }
-    if (!error && this->open.size() < this->limits_in_force.max_connections) {
-      auto connection =
-          std::make_shared<ServerConnection>(*this, std::move(socket));
-      this->open.insert(connection);
-      connection->Start();
-    }
-    this->Accept();
-  });
+void HttpServer::Take(Tcp::socket socket) {
+  if (this->open.size() >= this->limits_in_force.max_connections) {
+    return;
+  }
+  auto connection =
+      std::make_shared<ServerConnection>(*this, std::move(socket));
+  this->open.insert(connection);
+  connection->Start();
 }
 
 void HttpServer::StartClosing() {
@@ -50,9 +42,7 @@
 }
 
 void HttpServer::StopListening() {
-  this->stopped = true;
-  boost::system::error_code ignored;
-  this->acceptor.close(ignored);
+  this->listener.Close();
   const std::vector<std::shared_ptr<ServerConnection>> all(this->open.begin(),
                                                            this->open.end());
   for (const auto& connection : all) {
--- a/src/boragepaddle/event/http_server.h
+++ b/src/boragepaddle/event/http_server.h
@@ -8,6 +8,7 @@
 
 #include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
+#include "boragepaddle/event/accept_loop.h"
 #include "boragepaddle/event/http_exchange.h"
 #include "boragepaddle/event/socket_options.h"
 
@@ -49,7 +50,7 @@
   void Tick(absl::Time now);
 
   /// Address that the listener is bound to.
-  Tcp::endpoint endpoint() const { return this->acceptor.local_endpoint(); }
+  Tcp::endpoint endpoint() const { return this->listener.endpoint(); }
   bool closing() const { return this->is_closing; }
   size_t connections() const { return this->open.size(); }
   /// Connections with a request that is being read or answered.
@@ -58,14 +59,13 @@
  private:
   friend class ServerConnection;
 
-  void Accept();
+  void Take(Tcp::socket socket);
 
   boost::asio::io_context& loop;
   Handler handler;
-  Tcp::acceptor acceptor;
+  AcceptLoop listener;
   HttpServerLimits limits_in_force;
   bool is_closing = false;
-  bool stopped = false;
   absl::flat_hash_set<std::shared_ptr<ServerConnection>> open;
 };
 
--- a/src/boragepaddle/event/peer_channel.cc
+++ b/src/boragepaddle/event/peer_channel.cc
@@ -119,7 +119,13 @@
         }
         OnHeard(self->silence, BootNow());
         self->received.append(self->chunk.data(), count);
-        self->TakeFrames();
+        try {
+          self->TakeFrames();
+        } catch (...) {
+          // The channel is of no use after a frame that was taken in part.
+          self->Close();
+          throw;
+        }
         if (!self->closed) {
           self->Read();
         }
--- a/src/boragepaddle/proxy/peer_network.cc
+++ b/src/boragepaddle/proxy/peer_network.cc
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "boragepaddle/event/open_listener.h"
 
 namespace boragepaddle::proxy {
 
@@ -20,26 +19,15 @@
 
 PeerNetwork::PeerNetwork(boost::asio::io_context& loop,
                          PeerNetworkEvents events)
-    : loop(loop), events(std::move(events)), acceptor(loop) {}
+    : loop(loop),
+      events(std::move(events)),
+      listener(loop, [this](event::Tcp::socket socket) {
+        this->MakeChannel()->Adopt(std::move(socket));
+      }) {}
 
 boost::system::error_code PeerNetwork::Listen(
     const event::Tcp::endpoint& endpoint) {
-  const auto error =
-      event::OpenListener(this->acceptor, endpoint, kListenBacklog);
-  if (!error) {
-    this->Accept();
-  }
-  return error;
-}
-
-void PeerNetwork::Accept() {
-  this->acceptor.async_accept([this](const boost::system::error_code& error,
-                                     event::Tcp::socket socket) {
-    if (!error) {
-      this->MakeChannel()->Adopt(std::move(socket));
-    }
-    this->Accept();
-  });
+  return this->listener.Listen(endpoint, kListenBacklog);
 }
 
 PeerChannelPtr PeerNetwork::MakeChannel() {
--- a/src/boragepaddle/proxy/peer_network.h
+++ b/src/boragepaddle/proxy/peer_network.h
@@ -10,6 +10,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "boragepaddle/event/accept_loop.h"
 #include "boragepaddle/event/peer_channel.h"
 #include "boragepaddle/schema/messages.h"
 
@@ -48,12 +49,11 @@
   size_t channels() const { return this->all.size(); }
 
  private:
-  void Accept();
   event::PeerChannelPtr MakeChannel();
 
   boost::asio::io_context& loop;
   PeerNetworkEvents events;
-  event::Tcp::acceptor acceptor;
+  event::AcceptLoop listener;
   absl::flat_hash_map<std::string, event::PeerChannelPtr> outgoing;
   absl::flat_hash_set<event::PeerChannelPtr> all;
   uint64_t next_number = 1;
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -29,6 +29,10 @@
 /// A gap between ticks that is taken for a pause of the process or the VM.
 constexpr absl::Duration kPauseGap = absl::Milliseconds(700);
 
+/// Part of the memory that unfinished answers of the worker may take: one in
+/// this many. Requests, answers on their way and the rest need the others.
+constexpr uint64_t kHeldAnswersPart = 4;
+
 constexpr char kMetricsPath[] = "/metrics";
 
 absl::string_view KindName(StoreChange::Kind kind) {
@@ -141,6 +145,7 @@
   this->Listen(this->operators, absl::StrCat(this->settings.host, ":",
                                              this->settings.metrics_port));
   this->workers.SetWorker(*worker);
+  this->workers.SetMaxHeldBytes(this->settings.memory_bytes / kHeldAnswersPart);
   this->feed.Start();
   this->ScheduleTick();
   this->log.State(LogLine("node", "started")
@@ -247,8 +252,9 @@
   this->timer.expires_after(absl::ToChronoNanoseconds(kTick));
   this->timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
-      this->Tick();
+      // First, so that a turn that fails is not the last one.
       this->ScheduleTick();
+      this->Tick();
     }
   });
 }
