--- a/src/boragepaddle/proxy/entry.cc
+++ b/src/boragepaddle/proxy/entry.cc
@@ -137,7 +137,7 @@
   }
   const std::string full = routing::AdmitRoot(
       this->root_gate, this->store.workers,
-      {call.route->name, call.service, call.priority, call.arrived});
+      {call.route->name, call.service, call.priority, event::BootNow()});
   if (full.empty()) {
     call.admitted = true;
     return true;
--- a/src/boragepaddle/routing/root_gate.cc
+++ b/src/boragepaddle/routing/root_gate.cc
@@ -84,11 +84,14 @@
 void Fill(Allowance& allowance, double rate, double most, absl::Time now) {
   if (allowance.filled == absl::InfinitePast()) {
     allowance.level = most;
-  } else {
-    const double seconds = absl::ToDoubleSeconds(now - allowance.filled);
-    allowance.level = std::min(most, allowance.level + rate * seconds);
+    allowance.filled = now;
+    return;
   }
-  allowance.filled = now;
+  // Requests that waited may ask as of an earlier time than the last one.
+  const double seconds =
+      std::max(0.0, absl::ToDoubleSeconds(now - allowance.filled));
+  allowance.level = std::min(most, allowance.level + rate * seconds);
+  allowance.filled = std::max(allowance.filled, now);
 }
 
 /// Level that a request of the priority must leave.
--- a/tests/unit/platform_path/load_patterns_test.cc
+++ b/tests/unit/platform_path/load_patterns_test.cc
@@ -321,5 +321,27 @@
   CHECK(grant.factor < before / 2);
 }
 
+// Pattern: parked_roots. Requests that waited for room ask among those that
+// come now.
+TEST_CASE("A request that waited takes nothing back from the allowance") {
+  routing::RootGate gate;
+  catalog::WorkerDirectory directory;
+  catalog::WorkerEntry entry;
+  entry.instance = "i";
+  entry.service = "s";
+  entry.host = "h";
+  entry.slots = 100;
+  catalog::PutWorker(directory, entry, absl::UnixEpoch());
+  routing::OnUse(gate, "r", std::vector<schema::ServiceUse>{{"s", 1000}});
+  const absl::Time now = absl::UnixEpoch() + absl::Seconds(10);
+  REQUIRE(routing::AdmitRoot(gate, directory, {"r", "s", 0, now}).empty());
+  const double level = gate.services.at("s").all.level;
+  routing::AdmitRoot(gate, directory,
+                     {"r", "s", 0, now - absl::Milliseconds(50)});
+  // Its own slot time only.
+  CHECK(gate.services.at("s").all.level >= level - 0.0011);
+  CHECK(gate.services.at("s").all.filled == now);
+}
+
 }  // namespace
 }  // namespace boragepaddle
