Ask on a new connection what became of calls whose connection ended

Cause: a reset connection between nodes made its calls unknown (502), and the node beside the worker broke off those it ran, though it knew what became of each.

Ruled out: the reset itself.

Each attempt has its own id, so a late answer to an attempt that was given up is no longer taken for that of the next one.

--- a/src/boragepaddle/event/peer_channel.cc
+++ b/src/boragepaddle/event/peer_channel.cc
@@ -35,24 +35,26 @@
       created(BootNow()),
       silence(MakeSilenceWatch(SilenceSettings(), created)) {}
 
-void PeerChannel::Adopt(Tcp::socket accepted) {
-  this->socket = std::move(accepted);
+void PeerChannel::Adopt(Tcp::socket socket) {
+  this->socket = std::move(socket);
+  this->accepted = true;
   this->OnOpened();
 }
 
 void PeerChannel::Connect(const Tcp::endpoint& endpoint) {
   auto self = this->shared_from_this();
-  this->socket.async_connect(endpoint,
-                             [self](const boost::system::error_code& error) {
-                               if (self->closed) {
-                                 return;
-                               }
-                               if (error) {
-                                 self->Close();
-                                 return;
-                               }
-                               self->OnOpened();
-                             });
+  this->socket.async_connect(
+      endpoint, [self](const boost::system::error_code& error) {
+        if (self->closed) {
+          return;
+        }
+        if (error) {
+          self->refused = error == boost::asio::error::connection_refused;
+          self->Close();
+          return;
+        }
+        self->OnOpened();
+      });
 }
 
 void PeerChannel::OnOpened() {
--- a/src/boragepaddle/event/peer_channel.h
+++ b/src/boragepaddle/event/peer_channel.h
@@ -35,7 +35,7 @@
   PeerChannel(boost::asio::io_context& loop, const PeerChannelEvents& events);
 
   /// Takes over an accepted connection.
-  void Adopt(Tcp::socket accepted);
+  void Adopt(Tcp::socket socket);
   /// Connects to the address.
   void Connect(const Tcp::endpoint& endpoint);
 
@@ -54,9 +54,16 @@
   /// Frames may have reached the other node.
   bool was_open() const { return this->opened; }
 
+  /// The other node opened it.
+  bool was_accepted() const { return this->accepted; }
+  /// The attempt to connect was refused: no process listens there.
+  bool was_refused() const { return this->refused; }
+
   /// Free for the owner: identity of the other node.
   std::string host;
   uint64_t number = 0;
+  /// Process start of the other node; 0 before its hello.
+  uint64_t peer_incarnation = 0;
 
  private:
   void OnOpened();
@@ -69,6 +76,8 @@
   Tcp::socket socket;
   bool opened = false;
   bool closed = false;
+  bool accepted = false;
+  bool refused = false;
   bool writing = false;
   std::string received;
   std::array<char, 16384> chunk{};
--- a/src/boragepaddle/proxy/entry.h
+++ b/src/boragepaddle/proxy/entry.h
@@ -44,6 +44,8 @@
   /// A repeat needs this share of the time to the objective, or of the time
   /// left where there is no objective.
   absl::Duration min_repeat_time = absl::Milliseconds(50);
+  /// Pause between tries to reach a node that holds attempts.
+  absl::Duration resume_pause = absl::Milliseconds(200);
   /// Shortest time that a refused client is asked to stay away.
   absl::Duration min_retry_after = absl::Milliseconds(200);
   absl::Duration max_retry_after = absl::Seconds(2);
@@ -72,9 +74,14 @@
   /// repeated are sent elsewhere; the others wait on.
   void OnChannelSilent(const event::PeerChannelPtr& channel);
 
-  /// A channel closed; its attempts get no answers.
+  /// A channel closed. The other node is asked on a new one what became of the
+  /// attempts, if it can be.
   void OnChannelClosed(const event::PeerChannelPtr& channel);
 
+  /// The other node told what became of resumed attempts.
+  void OnCallStates(const event::PeerChannelPtr& channel,
+                    const schema::CallStates& states);
+
   void OnLoadNotice(absl::string_view host, const schema::LoadNotice& notice);
   void OnDirectory();
   void Tick(absl::Time now);
@@ -101,6 +108,15 @@
                                const catalog::WorkerEntry& worker,
                                absl::Time now) const;
   std::vector<uint64_t> PendingOn(const event::PeerChannelPtr& channel) const;
+  /// Asks the other node on a new connection.
+  void Resume(const std::string& host,
+              uint64_t incarnation,
+              const std::vector<uint64_t>& ids);
+  /// Resumes attempts whose last try found no connection.
+  void ResumeDue(absl::Time now);
+  void EndResumed(const event::PeerChannelPtr& channel,
+                  uint64_t attempt,
+                  bool sent);
   void OnAttemptEnd(EntryCall& call, schema::HttpAnswer& answer);
   void LearnUse(const EntryCall& call, const schema::HttpAnswer& answer);
   void OnNotRun(EntryCall& call, const schema::HttpAnswer& answer);
@@ -137,7 +153,10 @@
   std::mt19937_64 random;
   bool leaving = false;
   uint64_t next_id = 1;
+  uint64_t next_attempt = 1;
   absl::flat_hash_map<uint64_t, std::unique_ptr<EntryCall>> calls;
+  /// Call ids by the id of their attempt in progress.
+  absl::flat_hash_map<uint64_t, uint64_t> attempts;
   /// Attempts in flight by channel number.
   absl::flat_hash_map<uint64_t, uint32_t> waiting;
   absl::flat_hash_map<std::string, routing::TargetSplit> splits;
--- a/src/boragepaddle/proxy/entry_attempt.cc
+++ b/src/boragepaddle/proxy/entry_attempt.cc
@@ -1,8 +1,10 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <map>
 #include <utility>
 #include <vector>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/match.h"
 #include "boragepaddle/event/clock.h"
 #include "boragepaddle/proxy/entry.h"
@@ -88,13 +90,16 @@
 
 void Entry::SendTo(EntryCall& call, const catalog::WorkerEntry& worker) {
   const absl::Time now = event::BootNow();
+  call.attempt = this->next_attempt++;
+  this->attempts[call.attempt] = call.id;
   schema::HttpCall message = this->MakeMessage(call, worker, now);
   call.instance = worker.instance;
   call.tried.push_back(worker.instance);
   call.sent_at = now;
   call.attempt_pending = true;
   routing::OnCallSent(this->loads, worker.instance);
-  if (worker.host == this->settings.host) {
+  call.is_local = worker.host == this->settings.host;
+  if (call.is_local) {
     call.channel = nullptr;
     call.local_id = 0;
     const uint64_t local_id = this->local.Handle(
@@ -121,7 +126,7 @@
                                     absl::Time now) const {
   const event::HttpRequest& request = call.exchange->request();
   schema::HttpCall message;
-  message.call_id = call.id;
+  message.call_id = call.attempt;
   message.request_id = call.request_id;
   message.service = worker.service;
   message.instance = worker.instance;
@@ -150,6 +155,9 @@
 
 void Entry::ForgetAttempt(EntryCall& call) {
   call.attempt_pending = false;
+  call.resuming = false;
+  call.resume_at = absl::InfiniteFuture();
+  this->attempts.erase(call.attempt);
   if (call.channel != nullptr) {
     const auto found = this->waiting.find(call.channel->number);
     if (found != this->waiting.end() && --found->second == 0) {
@@ -160,11 +168,12 @@
 }
 
 void Entry::OnAnswer(schema::HttpAnswer answer) {
-  const auto found = this->calls.find(answer.call_id);
-  if (found == this->calls.end() || !found->second->attempt_pending) {
+  // Answers to attempts that were given up find no call.
+  const auto found = this->attempts.find(answer.call_id);
+  if (found == this->attempts.end()) {
     return;
   }
-  EntryCall& call = *found->second;
+  EntryCall& call = *this->calls.at(found->second);
   routing::OnCallEnded(this->loads, call.instance, answer.load,
                        IsWorkerFailure(answer) && answer.offered,
                        event::BootNow());
@@ -277,7 +286,9 @@
 
 void Entry::OnAttemptLost(EntryCall& call, bool sent) {
   routing::OnCallLost(this->loads, call.instance);
-  routing::OnUnreachable(this->loads, call.instance, event::BootNow());
+  if (sent || !call.resuming) {
+    routing::OnUnreachable(this->loads, call.instance, event::BootNow());
+  }
   schema::HttpAnswer lost;
   lost.outcome = sent ? Outcome::kUnknown : Outcome::kNotRun;
   lost.reason = Reason::kConnectionLost;
@@ -332,18 +343,110 @@
                       .Add("host", channel->host)
                       .Add("waiting", pending.size())
                       .Add("sent_elsewhere", repeated));
+  // The connection may be dead although the node lives. One try: a node that
+  // stands still must not find a connection for each of them.
+  const bool tried = absl::c_any_of(pending, [this](uint64_t id) {
+    const auto found = this->calls.find(id);
+    return found != this->calls.end() && found->second->resuming;
+  });
+  if (!tried) {
+    channel->Close();
+  }
 }
 
 void Entry::OnChannelClosed(const event::PeerChannelPtr& channel) {
-  const std::vector<uint64_t> lost = this->PendingOn(channel);
+  const std::vector<uint64_t> pending = this->PendingOn(channel);
   this->waiting.erase(channel->number);
-  for (const uint64_t id : lost) {
+  std::vector<uint64_t> held;
+  for (const uint64_t id : pending) {
     const auto found = this->calls.find(id);
-    if (found != this->calls.end()) {
-      found->second->channel = nullptr;
-      this->OnAttemptLost(*found->second, channel->was_open());
+    if (found == this->calls.end()) {
+      continue;
+    }
+    EntryCall& call = *found->second;
+    call.channel = nullptr;
+    if (channel->was_open() && channel->peer_incarnation != 0) {
+      call.resume_host = channel->host;
+      call.resume_incarnation = channel->peer_incarnation;
+      held.push_back(id);
+    } else if (call.resuming && !channel->was_refused()) {
+      call.resume_at = event::BootNow() + this->bounds.resume_pause;
+    } else {
+      this->OnAttemptLost(call, channel->was_open() || call.resuming);
+    }
+  }
+  if (!held.empty()) {
+    this->Resume(channel->host, channel->peer_incarnation, held);
+  }
+}
+
+// The node at the other end knows what became of the calls that it was given.
+// It is asked for as long as their clients wait: nobody else can tell whether
+// a request that may not run twice has run.
+void Entry::Resume(const std::string& host,
+                   uint64_t incarnation,
+                   const std::vector<uint64_t>& ids) {
+  const event::PeerChannelPtr channel =
+      this->peers.ChannelTo(host, this->settings.peer_port);
+  schema::CallResume message;
+  message.incarnation = incarnation;
+  for (const uint64_t id : ids) {
+    message.call_ids.push_back(this->calls.at(id)->attempt);
+  }
+  const bool asked = channel != nullptr && channel->Send(message);
+  for (const uint64_t id : ids) {
+    EntryCall& call = *this->calls.at(id);
+    call.resuming = true;
+    call.resume_at = asked ? absl::InfiniteFuture()
+                           : event::BootNow() + this->bounds.resume_pause;
+    if (asked) {
+      call.channel = channel;
+      ++this->waiting[channel->number];
     }
   }
+  this->log.State(telemetry::LogLine("entry", "calls_resumed")
+                      .Add("host", host)
+                      .Add("calls", ids.size())
+                      .Add("asked", asked));
+}
+
+void Entry::ResumeDue(absl::Time now) {
+  std::map<std::pair<std::string, uint64_t>, std::vector<uint64_t>> due;
+  for (const auto& [id, call] : this->calls) {
+    if (call->attempt_pending && now >= call->resume_at) {
+      due[{call->resume_host, call->resume_incarnation}].push_back(id);
+    }
+  }
+  for (const auto& [node, ids] : due) {
+    this->Resume(node.first, node.second, ids);
+  }
+}
+
+void Entry::OnCallStates(const event::PeerChannelPtr& channel,
+                         const schema::CallStates& states) {
+  this->log.State(telemetry::LogLine("entry", "call_states")
+                      .Add("host", channel->host)
+                      .Add("never_received", states.never_received.size())
+                      .Add("unknown", states.unknown.size()));
+  for (const uint64_t attempt : states.never_received) {
+    this->EndResumed(channel, attempt, /*sent=*/false);
+  }
+  for (const uint64_t attempt : states.unknown) {
+    this->EndResumed(channel, attempt, /*sent=*/true);
+  }
+}
+
+void Entry::EndResumed(const event::PeerChannelPtr& channel,
+                       uint64_t attempt,
+                       bool sent) {
+  const auto found = this->attempts.find(attempt);
+  if (found == this->attempts.end()) {
+    return;
+  }
+  EntryCall& call = *this->calls.at(found->second);
+  if (call.resuming && call.channel == channel) {
+    this->OnAttemptLost(call, sent);
+  }
 }
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/entry_call.h
+++ b/src/boragepaddle/proxy/entry_call.h
@@ -55,8 +55,19 @@
   schema::Reason last_reason = schema::Reason::kNoUpstream;
   absl::Duration retry_after;
 
-  /// The attempt in progress: null channel for the worker of this VM.
+  /// The attempt in progress.
   bool attempt_pending = false;
+  /// Its id on the wire; another one for each attempt.
+  uint64_t attempt = 0;
+  /// The attempt goes to the worker of this VM.
+  bool is_local = false;
+  /// The connection ended, and the other node is asked on a new one what
+  /// became of the attempt. Without a channel, the next try is at `resume_at`.
+  bool resuming = false;
+  absl::Time resume_at = absl::InfiniteFuture();
+  /// Where the attempt went, once the connection ended.
+  std::string resume_host;
+  uint64_t resume_incarnation = 0;
   event::PeerChannelPtr channel;
   /// Id that the worker side of this node gave to a local attempt.
   uint64_t local_id = 0;
--- a/src/boragepaddle/proxy/entry_finish.cc
+++ b/src/boragepaddle/proxy/entry_finish.cc
@@ -29,10 +29,10 @@
     return;
   }
   routing::OnCallLost(this->loads, call.instance);
-  if (call.channel != nullptr) {
-    call.channel->Send(schema::HttpCancel{call.id});
-  } else {
+  if (call.is_local) {
     this->local.Cancel(call.local_id);
+  } else if (call.channel != nullptr) {
+    call.channel->Send(schema::HttpCancel{call.attempt});
   }
   this->ForgetAttempt(call);
 }
@@ -62,6 +62,7 @@
 void Entry::Tick(absl::Time now) {
   std::vector<uint64_t> over;
   std::vector<uint64_t> parked;
+  this->ResumeDue(now);
   for (const auto& [id, call] : this->calls) {
     if (now >= call->give_up_at) {
       over.push_back(id);
--- a/src/boragepaddle/proxy/peer_network.cc
+++ b/src/boragepaddle/proxy/peer_network.cc
@@ -33,7 +33,9 @@
 PeerChannelPtr PeerNetwork::MakeChannel() {
   event::PeerChannelEvents channel_events;
   channel_events.on_open = [this](const PeerChannelPtr& channel) {
-    channel->Send(this->events.make_hello());
+    if (channel->was_accepted()) {
+      channel->Send(this->events.make_hello());
+    }
   };
   channel_events.on_message = [this](const PeerChannelPtr& channel,
                                      schema::Message& message) {
@@ -66,6 +68,8 @@
   PeerChannelPtr channel = this->MakeChannel();
   channel->host = std::string(host);
   this->outgoing[channel->host] = channel;
+  // Before the frames that wait for the connection.
+  channel->Send(this->events.make_hello());
   channel->Connect(*endpoint);
   return channel;
 }
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -268,6 +268,7 @@
   }
   this->entry.Tick(now);
   this->worker_side.Tick(now);
+  this->ExpireCalls(now);
   this->TellGrant(now);
   if (now - this->last_peer_tick >= kPeerTick) {
     this->last_peer_tick = now;
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -21,6 +21,7 @@
 #include "boragepaddle/proxy/store_feed.h"
 #include "boragepaddle/proxy/store_state.h"
 #include "boragepaddle/proxy/worker_side.h"
+#include "boragepaddle/recovery/call_ledger.h"
 #include "boragepaddle/telemetry/event_log.h"
 #include "boragepaddle/telemetry/request_metrics.h"
 
@@ -64,6 +65,10 @@
   void OnPeerCall(const event::PeerChannelPtr& channel, schema::HttpCall call);
   void OnPeerCancel(const event::PeerChannelPtr& channel,
                     const schema::HttpCancel& cancel);
+  void OnPeerResume(const event::PeerChannelPtr& channel,
+                    const schema::CallResume& resume);
+  /// Cancels calls whose sender did not come back.
+  void ExpireCalls(absl::Time now);
   void OnChannelClosed(const event::PeerChannelPtr& channel);
   void OnReadyProbe(const std::shared_ptr<event::HttpExchange>& exchange);
   void OnMetricsRequest(const std::shared_ptr<event::HttpExchange>& exchange);
@@ -95,8 +100,9 @@
   event::HttpServer operators;
   StoreFeed feed;
   boost::asio::steady_timer timer;
-  /// Worker-side ids of remote calls, by channel number and call id.
-  absl::flat_hash_map<std::pair<uint64_t, uint64_t>, uint64_t> remote_calls;
+  /// Calls of other nodes, and the channels on which they come.
+  recovery::CallLedger ledger;
+  absl::flat_hash_map<uint64_t, event::PeerChannelPtr> callers_by_channel;
   const absl::Time started;
   absl::Time last_tick;
   absl::Time last_slow_tick;
--- a/src/boragepaddle/proxy/proxy_node_peers.cc
+++ b/src/boragepaddle/proxy/proxy_node_peers.cc
@@ -51,6 +51,10 @@
     this->OnPeerHello(channel, *hello);
   } else if (const auto* notice = std::get_if<schema::LoadNotice>(&message)) {
     this->entry.OnLoadNotice(channel->host, *notice);
+  } else if (const auto* resume = std::get_if<schema::CallResume>(&message)) {
+    this->OnPeerResume(channel, *resume);
+  } else if (const auto* states = std::get_if<schema::CallStates>(&message)) {
+    this->entry.OnCallStates(channel, *states);
   } else {
     this->feed.OnMessage(channel, message);
   }
@@ -68,6 +72,11 @@
 void ProxyNode::OnPeerHello(const PeerChannelPtr& channel,
                             const schema::PeerHello& hello) {
   channel->host = hello.host;
+  channel->peer_incarnation = hello.incarnation;
+  if (channel->was_accepted()) {
+    this->callers_by_channel[channel->number] = channel;
+    recovery::OnChannel(this->ledger, hello.incarnation, channel->number);
+  }
   this->feed.OnHello(channel);
   if (this->stopping_since != absl::InfiniteFuture()) {
     channel->Send(this->worker_side.Notice());
@@ -76,44 +85,58 @@
 
 void ProxyNode::OnPeerCall(const PeerChannelPtr& channel,
                            schema::HttpCall call) {
-  const std::pair<uint64_t, uint64_t> key(channel->number, call.call_id);
-  // Reserved first, since the reply may come before Handle returns.
-  this->remote_calls[key] = 0;
+  const uint64_t sender = channel->peer_incarnation;
+  const uint64_t call_id = call.call_id;
+  if (!recovery::OnCall(this->ledger, sender, channel->number, call_id)) {
+    return;
+  }
   const uint64_t id = this->worker_side.Handle(
-      std::move(call), [this, channel, key](schema::HttpAnswer answer) {
-        this->remote_calls.erase(key);
-        channel->Send(answer);
+      std::move(call), [this, sender](const schema::HttpAnswer& answer) {
+        const uint64_t number =
+            recovery::OnAnswer(this->ledger, sender, answer, event::BootNow());
+        const auto found = this->callers_by_channel.find(number);
+        if (found != this->callers_by_channel.end()) {
+          found->second->Send(answer);
+        }
       });
-  const auto found = this->remote_calls.find(key);
-  if (found != this->remote_calls.end()) {
-    found->second = id;
-  }
+  recovery::OnTaken(this->ledger, sender, call_id, id);
 }
 
 void ProxyNode::OnPeerCancel(const PeerChannelPtr& channel,
                              const schema::HttpCancel& cancel) {
-  const auto found = this->remote_calls.find({channel->number, cancel.call_id});
-  if (found != this->remote_calls.end()) {
-    const uint64_t id = found->second;
-    this->remote_calls.erase(found);
+  const uint64_t id = recovery::OnCancel(
+      this->ledger, channel->peer_incarnation, cancel.call_id);
+  if (id != 0) {
     this->worker_side.Cancel(id);
   }
 }
 
-void ProxyNode::OnChannelClosed(const PeerChannelPtr& channel) {
-  std::vector<uint64_t> abandoned;
-  for (auto call = this->remote_calls.begin();
-       call != this->remote_calls.end();) {
-    if (call->first.first == channel->number) {
-      abandoned.push_back(call->second);
-      this->remote_calls.erase(call++);
-    } else {
-      ++call;
-    }
+void ProxyNode::OnPeerResume(const PeerChannelPtr& channel,
+                             const schema::CallResume& resume) {
+  if (resume.incarnation != this->incarnation) {
+    // The calls went to an earlier process at this address.
+    channel->Send(schema::CallStates{{}, resume.call_ids});
+    return;
   }
-  for (const uint64_t id : abandoned) {
+  const recovery::ResumeResult result = recovery::OnResume(
+      this->ledger, channel->peer_incarnation, resume.call_ids);
+  channel->Send(result.states);
+  for (const schema::HttpAnswer& answer : result.answers) {
+    channel->Send(answer);
+  }
+}
+
+void ProxyNode::ExpireCalls(absl::Time now) {
+  for (const uint64_t id : recovery::Expire(this->ledger, now)) {
     this->worker_side.Cancel(id);
   }
+}
+
+void ProxyNode::OnChannelClosed(const PeerChannelPtr& channel) {
+  if (channel->was_accepted()) {
+    this->callers_by_channel.erase(channel->number);
+    recovery::OnChannelClosed(this->ledger, channel->number, event::BootNow());
+  }
   this->feed.OnChannelClosed(channel);
   this->entry.OnChannelClosed(channel);
 }
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -416,6 +416,22 @@
   return !(a == b);
 }
 
+bool operator==(const CallResume& a, const CallResume& b) {
+  return a.incarnation == b.incarnation && a.call_ids == b.call_ids;
+}
+
+bool operator!=(const CallResume& a, const CallResume& b) {
+  return !(a == b);
+}
+
+bool operator==(const CallStates& a, const CallStates& b) {
+  return a.never_received == b.never_received && a.unknown == b.unknown;
+}
+
+bool operator!=(const CallStates& a, const CallStates& b) {
+  return !(a == b);
+}
+
 bool operator==(const FeedSubscribe& a, const FeedSubscribe& b) {
   return a.active == b.active;
 }
@@ -1030,6 +1046,32 @@
   return reader.ok();
 }
 
+void Pack(Packer& packer, const CallResume& value) {
+  packer.pack_array(2);
+  Pack(packer, value.incarnation);
+  Pack(packer, value.call_ids);
+}
+
+bool Unpack(const msgpack::object& object, CallResume* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->incarnation);
+  reader.Next(&value->call_ids);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const CallStates& value) {
+  packer.pack_array(2);
+  Pack(packer, value.never_received);
+  Pack(packer, value.unknown);
+}
+
+bool Unpack(const msgpack::object& object, CallStates* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->never_received);
+  reader.Next(&value->unknown);
+  return reader.ok();
+}
+
 void Pack(Packer& packer, const FeedSubscribe& value) {
   packer.pack_array(1);
   Pack(packer, value.active);
@@ -1138,6 +1180,10 @@
       return DecodeAs<LoadNotice>(fields);
     case 35:
       return DecodeAs<Heartbeat>(fields);
+    case 41:
+      return DecodeAs<CallResume>(fields);
+    case 42:
+      return DecodeAs<CallStates>(fields);
     case 37:
       return DecodeAs<FeedSubscribe>(fields);
     case 38:
@@ -1239,6 +1285,14 @@
   return 35;
 }
 
+uint32_t KindOf(const CallResume& /*message*/) {
+  return 41;
+}
+
+uint32_t KindOf(const CallStates& /*message*/) {
+  return 42;
+}
+
 uint32_t KindOf(const FeedSubscribe& /*message*/) {
   return 37;
 }
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -431,7 +431,7 @@
 
 /// One attempt of an HTTP call for the worker beside the receiver.
 struct HttpCall {
-  /// Unique on the connection.
+  /// Unique in one run of the sender, and growing from call to call.
   uint64_t call_id = 0;
   std::string request_id;
   std::string service;
@@ -525,6 +525,28 @@
 bool operator==(const Heartbeat& a, const Heartbeat& b);
 bool operator!=(const Heartbeat& a, const Heartbeat& b);
 
+/// Asks on a new connection what became of calls whose connection ended.
+struct CallResume {
+  /// Process start of the receiver to which the calls went.
+  uint64_t incarnation = 0;
+  std::vector<uint64_t> call_ids;
+};
+/// Compares all fields.
+bool operator==(const CallResume& a, const CallResume& b);
+bool operator!=(const CallResume& a, const CallResume& b);
+
+/// Calls of a CallResume that neither run nor have an answer; answers of the
+/// others follow by themselves.
+struct CallStates {
+  /// Not run, and never will be.
+  std::vector<uint64_t> never_received;
+  /// May have run.
+  std::vector<uint64_t> unknown;
+};
+/// Compares all fields.
+bool operator==(const CallStates& a, const CallStates& b);
+bool operator!=(const CallStates& a, const CallStates& b);
+
 /// Asks to be told of each change of the store, or not any longer.
 struct FeedSubscribe {
   bool active = false;
@@ -587,6 +609,8 @@
                              PeerHello,
                              LoadNotice,
                              Heartbeat,
+                             CallResume,
+                             CallStates,
                              FeedSubscribe,
                              FeedNotice,
                              FeedFetch,
