--- a/tests/integration/platform_path_test.py
+++ b/tests/integration/platform_path_test.py
@@ -154,6 +154,22 @@
         wait_until(self.nodes[0].is_ready, 10, "readiness by the copy of another node")
         self.assertIn("i-2:", self.nodes[0].call("/read/x")[1])
 
+    def test_a_restart_brings_back_neither_a_worker_nor_a_route(self):
+        """The first read of a process may show what was there seconds ago."""
+        self.serve()
+        self.store.freeze_old_reads()
+        self.store.remove("servers/i-1")
+        self.store.put("op/config", config(2, [READ]))
+        time.sleep(0.5)
+        self.nodes[0].kill()
+        before = len(self.workers[1].runs)
+        self.nodes[0].start()
+        wait_until(self.nodes[0].is_ready, 10, "readiness after the restart")
+        for _ in range(20):
+            self.assertEqual(self.nodes[0].call("/read/x")[0], 200)
+            self.assertEqual(self.nodes[0].call("/write/x", "POST")[0], 404)
+        self.assertEqual(len(self.workers[1].runs), before)
+
     def test_a_leaving_worker_gets_no_new_work(self):
         self.serve()
         self.store.put("servers/i-0", self.workers[0].entry("draining"))
--- a/tools/mesh/platform_standins.py
+++ b/tools/mesh/platform_standins.py
@@ -31,6 +31,8 @@
         self.compacted = 0
         self.down = False
         self.host = host
+        # Answer of reads that may be old; None: as the others.
+        self.old_range = None
         # Servers that answer nothing but refusals, by their address.
         self.refusing = set()
         self.server, self.address = self.open_address()
@@ -80,6 +82,11 @@
             self.events.append({"key": key, "revision": self.revision, "removed": True})
             self.condition.notify_all()
 
+    def freeze_old_reads(self):
+        """Reads that may be old show the content as it is now from here on."""
+        with self.condition:
+            self.old_range = (dict(self.items), self.revision)
+
     def compact(self):
         """Forgets the history; watches that wait are cut."""
         with self.condition:
@@ -105,10 +112,13 @@
 
     def _range(self, handler, query):
         with self.condition:
-            items = [item for key, item in sorted(self.items.items())
+            content, revision = self.items, self.revision
+            if query.get("serializable") == "1" and self.old_range:
+                content, revision = self.old_range
+            items = [item for key, item in sorted(content.items())
                      if key.startswith(query["prefix"]) and key > query.get("after", "")]
             # Short pages, so that paging is always exercised.
-            page = {"items": items[:3], "truncated": len(items) > 3, "as_of": self.revision}
+            page = {"items": items[:3], "truncated": len(items) > 3, "as_of": revision}
         self._send(handler, 200, page)
 
     def _watch(self, handler, query):
