Log when a node's copy of the store becomes stale or current

Adds copy_stale and copy_current with the age and the origin of the last confirmation, and the gauge feed_age_seconds.

--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -252,6 +252,9 @@
           : static_cast<double>(this->store.routes->revision));
   this->metrics.SetGauge("feed_revision",
                          static_cast<double>(this->replicator.revision()));
+  this->metrics.SetGauge(
+      "feed_age_seconds",
+      absl::ToDoubleSeconds(this->replicator.CopyAge(event::BootNow())));
   this->metrics.SetGauge("feed_subscribers",
                          static_cast<double>(this->replicator.subscribers()));
   this->metrics.SetGauge("feed_reads_store",
--- a/src/boragepaddle/proxy/store_replicator.cc
+++ b/src/boragepaddle/proxy/store_replicator.cc
@@ -25,6 +25,8 @@
 /// confirmed.
 constexpr absl::Duration kUnconfirmedReadyDelay = absl::Seconds(2);
 
+constexpr int64_t kMicrosecondsPerMillisecond = 1000;
+
 /// Limit on subscribers; the distribution tree needs a fraction of it.
 constexpr size_t kMaxSubscribers = 512;
 
@@ -146,6 +148,15 @@
   this->ReportOutage(now);
   const bool current = feed::IsCurrent(this->feed_state, now);
   this->ever_current |= current;
+  if (current != this->was_current) {
+    const schema::FeedStamp stamp = this->CurrentStamp(now);
+    this->log.LogState(
+        LogLine("feed", current ? "copy_current" : "copy_stale")
+            .Add("age_ms", stamp.age_us / kMicrosecondsPerMillisecond)
+            .Add("origin", stamp.origin)
+            .Add("reads", this->feed_state.reading)
+            .Add("revision", this->replica.revision));
+  }
   if (current != this->was_current ||
       now - this->notice_sent_at >= this->feed_state.settings.notice_interval) {
     this->was_current = current;
@@ -311,6 +322,11 @@
   }
 }
 
+absl::Duration StoreReplicator::CopyAge(absl::Time now) const {
+  const int64_t age_us = this->CurrentStamp(now).age_us;
+  return age_us < 0 ? absl::InfiniteDuration() : absl::Microseconds(age_us);
+}
+
 bool StoreReplicator::HasInitialState(absl::Time now) const {
   return this->ever_current || now - this->started_at > kUnconfirmedReadyDelay;
 }
--- a/src/boragepaddle/proxy/store_replicator.h
+++ b/src/boragepaddle/proxy/store_replicator.h
@@ -56,6 +56,10 @@
   /// The copy has been current once, or no confirmation came in time.
   bool HasInitialState(absl::Time now) const;
 
+  /// Time since the copy was last known to equal the store; infinite if it
+  /// never was.
+  absl::Duration CopyAge(absl::Time now) const;
+
   uint64_t revision() const { return this->replica.revision; }
   size_t subscribers() const { return this->subscriber_channels.size(); }
   const feed::FeedState& state() const { return this->feed_state; }
