Treat copies of the store as stale before a change can be late

Cause: nodes relied on a copy until its last confirmation was 6.5 s old, since the readers' long polls of 5 s confirm nothing meanwhile. When all readers lose the store silently, the nodes that still reach it followed them for that time, and then tried the store at a rate of five per second over the fleet. A call that the store no longer answers was noticed after 7 s. The class of fault: a timeout that was chosen by cost and exceeds the promise that depends on it.

Readers now poll every 0.9 s, a call fails 0.25 s after its wait (twice the last latency if that is longer), copies are stale at the deadline of a change less 0.6 s, and about 60 nodes of the fleet then read the store at once.

--- a/src/boragepaddle/event/key_value_source.h
+++ b/src/boragepaddle/event/key_value_source.h
@@ -62,10 +62,12 @@
                     Callback callback) = 0;
 
   /// Returns the changes after the revision as soon as there are any, or an
-  /// empty page once `wait` has passed.
+  /// empty page once `wait` has passed. Fails if there is no answer
+  /// `response_margin` after that.
   virtual void Watch(absl::string_view prefix,
                      uint64_t after_revision,
                      absl::Duration wait,
+                     absl::Duration response_margin,
                      Callback callback) = 0;
 
   /// Cancels the call in progress; its callback is not invoked.
--- a/src/boragepaddle/event/prefix_watcher.cc
+++ b/src/boragepaddle/event/prefix_watcher.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "boragepaddle/event/clock.h"
+
 namespace boragepaddle::event {
 
 namespace {
@@ -125,20 +127,29 @@
   const bool is_first = this->unconfirmed || this->failures > 0;
   const absl::Duration wait =
       is_first ? this->settings.probe_timeout : this->settings.wait;
-  this->source.Watch(this->prefix, this->revision, wait,
-                     [this, from = this->revision, epoch = this->epoch](
-                         base::Result<SourcePage, SourceError> page) {
-                       if (epoch != this->epoch) {
-                         return;
-                       }
-                       if (!page) {
-                         this->OnFailure(page.error());
-                         return;
-                       }
-                       this->OnSuccess();
-                       this->unconfirmed = false;
-                       this->OnWatched(from, std::move(page.value()));
-                     });
+  const absl::Duration margin =
+      is_first
+          ? this->settings.max_response_margin
+          : std::clamp(2 * this->latency, this->settings.min_response_margin,
+                       this->settings.max_response_margin);
+  this->source.Watch(
+      this->prefix, this->revision, wait, margin,
+      [this, from = this->revision, epoch = this->epoch, wait,
+       sent_at = BootNow()](base::Result<SourcePage, SourceError> page) {
+        if (epoch != this->epoch) {
+          return;
+        }
+        if (!page) {
+          this->OnFailure(page.error());
+          return;
+        }
+        if (page.value().items.empty()) {
+          this->latency = BootNow() - sent_at - wait;
+        }
+        this->OnSuccess();
+        this->unconfirmed = false;
+        this->OnWatched(from, std::move(page.value()));
+      });
 }
 
 void PrefixWatcher::OnWatched(uint64_t from, SourcePage page) {
--- a/src/boragepaddle/event/prefix_watcher.h
+++ b/src/boragepaddle/event/prefix_watcher.h
@@ -15,8 +15,15 @@
 
 /// Timing of a PrefixWatcher.
 struct PrefixWatcherSettings {
-  /// Longest time for which one watch call waits for changes.
-  absl::Duration wait = absl::Seconds(5);
+  /// Longest time for which one watch call waits for changes. Each answer
+  /// confirms that all changes are known, so this bounds the age of a
+  /// confirmation.
+  absl::Duration wait = absl::Milliseconds(900);
+  /// Bounds of the time that an answer may take beyond the wait: twice the
+  /// latency of the last answer. The upper one applies after a failure, when
+  /// the latency is unknown.
+  absl::Duration min_response_margin = absl::Milliseconds(250);
+  absl::Duration max_response_margin = absl::Seconds(2);
   /// Same for the first watch call after a start or a failure; short, so that
   /// its answer soon confirms that the source is reachable.
   absl::Duration probe_timeout = absl::Milliseconds(50);
@@ -90,6 +97,8 @@
   /// source is reachable.
   bool unconfirmed = true;
   uint32_t failures = 0;
+  /// Time that the last empty answer took beyond the wait.
+  absl::Duration latency;
   /// Incremented by each restart and stop, so that callbacks of earlier calls
   /// are ignored.
   uint64_t epoch = 0;
--- a/src/boragepaddle/feed/feed_state.cc
+++ b/src/boragepaddle/feed/feed_state.cc
@@ -14,6 +14,10 @@
 
 constexpr int64_t kUnknownAge = -1;
 
+/// Time from the staleness of all copies until a change has reached all nodes:
+/// the spread of the reads, a read, and the distribution.
+constexpr absl::Duration kStaleReadTime = absl::Milliseconds(600);
+
 /// Limit on candidates while no list of hosts is known.
 constexpr size_t kMaxDiscoveredCandidates = 8;
 
@@ -44,6 +48,17 @@
          absl::Seconds(-std::log(ToUnitInterval(random)) * mean_s);
 }
 
+/// Delay until this node reads the store because its sources are stale.
+absl::Duration StaleReadDelay(FeedState& state, uint64_t random) {
+  const bool undecided = state.stale_read_undecided;
+  state.stale_read_undecided = false;
+  if (undecided && random % std::max<size_t>(state.fleet_size, 1) <
+                       state.settings.stale_readers) {
+    return state.settings.stale_read_spread * ToUnitInterval(random);
+  }
+  return FallbackReadDelay(state, random);
+}
+
 /// Decision for a node whose sources have no current copy.
 bool ShouldReadWithoutCurrentSource(FeedState& state,
                                     uint64_t random,
@@ -62,7 +77,7 @@
     return true;
   }
   if (state.reading || state.stale_fallback_at == absl::InfiniteFuture()) {
-    state.stale_fallback_at = now + FallbackReadDelay(state, random);
+    state.stale_fallback_at = now + StaleReadDelay(state, random);
   }
   return now >= state.stale_fallback_at;
 }
@@ -76,12 +91,20 @@
   }
   state.stale_fallback_at = absl::InfiniteFuture();
   state.unreachable_fallback_at = absl::InfinitePast();
+  state.stale_read_undecided = true;
   return state.reading &&
          now - state.source_current_since < state.settings.fallback_hold_time;
 }
 
 }  // namespace
 
+FeedSettings MakeFeedSettings(absl::Duration change_deadline) {
+  FeedSettings settings;
+  settings.max_age =
+      std::max(settings.max_age, change_deadline - kStaleReadTime);
+  return settings;
+}
+
 void SetDistributionTree(FeedState& state, const DistributionTree& tree) {
   state.fleet_size = tree.hosts.size();
   state.is_reader = IsReader(tree, state.self.address);
@@ -278,6 +301,19 @@
   return stale;
 }
 
+bool IsNoticeDue(const FeedState& state, absl::Time now) {
+  return IsCurrent(state, now) != state.notified_current ||
+         now - state.notice_sent_at >= state.settings.notice_interval ||
+         BestConfirmation(state, now).at - state.notified_confirmation_at >=
+             state.settings.confirmation_step;
+}
+
+void OnNoticeSent(FeedState& state, absl::Time now) {
+  state.notice_sent_at = now;
+  state.notified_confirmation_at = BestConfirmation(state, now).at;
+  state.notified_current = IsCurrent(state, now);
+}
+
 schema::FeedStamp MakeStamp(const FeedState& state,
                             uint64_t revision,
                             uint64_t digest,
--- a/src/boragepaddle/feed/feed_state.h
+++ b/src/boragepaddle/feed/feed_state.h
@@ -16,8 +16,8 @@
 namespace boragepaddle::feed {
 
 /// Timing of the replication of the store. A change must reach every node
-/// within 2 s, the shortest time that deployments set for draining workers and
-/// for configurations, even while some of the relaying nodes have failed.
+/// within the deadline of the deployment, also if all readers lose the store
+/// right after they read it.
 struct FeedSettings {
   TreeSettings tree;
   /// Number of sources of a node that does not read the store itself.
@@ -26,9 +26,18 @@
   absl::Duration notice_interval = absl::Milliseconds(500);
   /// A source that sends nothing for this long is replaced.
   absl::Duration source_timeout = absl::Milliseconds(1100);
-  /// Maximum age of a current copy: one long poll of the store and a margin for
-  /// its response.
-  absl::Duration max_age = absl::Milliseconds(6500);
+  /// Age of the last confirmation up to which a copy is current. Longer than
+  /// the interval of the readers' answers, and shorter than the deadline of a
+  /// change by the time in which another node reads and distributes it.
+  absl::Duration max_age = absl::Milliseconds(1400);
+  /// Subscribers are notified of a confirmation that is newer than the last one
+  /// sent by this much.
+  absl::Duration confirmation_step = absl::Milliseconds(250);
+  /// When the copies of all sources become stale, about this many nodes of the
+  /// fleet read the store at once, within `stale_read_spread`. One of them that
+  /// reaches the store updates all others.
+  size_t stale_readers = 60;
+  absl::Duration stale_read_spread = absl::Milliseconds(200);
   /// Wait for a current source before the node reads the store itself, and the
   /// random addition to it.
   absl::Duration fallback_delay = absl::Milliseconds(250);
@@ -94,6 +103,8 @@
   /// sources are alive without a current copy, and while no source is alive.
   absl::Time stale_fallback_at = absl::InfiniteFuture();
   absl::Time unreachable_fallback_at = absl::InfinitePast();
+  /// The node has not yet decided whether it is among the `stale_readers`.
+  bool stale_read_undecided = true;
   /// Last time at which a source was dropped for its stale copy.
   absl::Time stale_source_dropped_at = absl::InfinitePast();
 
@@ -101,8 +112,16 @@
   std::string fetching_from;
   absl::Time fetch_sent_at = absl::InfinitePast();
   absl::Time snapshot_requested_at = absl::InfinitePast();
+
+  /// Content of the last notice to the subscribers.
+  absl::Time notice_sent_at = absl::InfinitePast();
+  absl::Time notified_confirmation_at = absl::InfinitePast();
+  bool notified_current = false;
 };
 
+/// Settings for a deployment that allows `change_deadline` for a change.
+FeedSettings MakeFeedSettings(absl::Duration change_deadline);
+
 /// True if the node is not a reader and knows no candidate to replicate from.
 bool IsIsolated(const FeedState& state);
 
@@ -173,6 +192,10 @@
 /// notices as well.
 std::vector<std::string> StaleSources(const FeedState& state, absl::Time now);
 
+/// True if the subscribers must be notified although no item changed.
+bool IsNoticeDue(const FeedState& state, absl::Time now);
+void OnNoticeSent(FeedState& state, absl::Time now);
+
 /// Makes the stamp that is sent to the subscribers.
 schema::FeedStamp MakeStamp(const FeedState& state,
                             uint64_t revision,
--- a/src/boragepaddle/platform/boot_settings.cc
+++ b/src/boragepaddle/platform/boot_settings.cc
@@ -1,5 +1,6 @@
 #include "boragepaddle/platform/boot_settings.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
@@ -133,6 +134,9 @@
       lookup.Number("limits.max_fds", node.max_descriptors));
   node.shutdown_grace_period =
       lookup.Seconds("bounds.grace_s", node.shutdown_grace_period);
+  node.change_deadline =
+      std::min(lookup.Seconds("bounds.config_apply_s", node.change_deadline),
+               lookup.Seconds("bounds.drain_s", node.change_deadline));
   node.retry_budget_ratio =
       lookup.Number("bounds.retry_budget_ratio", node.retry_budget_ratio);
   node.retry_budget_allowance =
--- a/src/boragepaddle/platform/store_client.cc
+++ b/src/boragepaddle/platform/store_client.cc
@@ -20,9 +20,6 @@
 /// a slow answer is still useful.
 constexpr absl::Duration kReadTimeout = absl::Seconds(2);
 
-/// Added to the wait of a watch to give its timeout.
-constexpr absl::Duration kWatchMargin = absl::Seconds(2);
-
 constexpr uint32_t kOk = 200;
 constexpr uint32_t kGone = 410;
 
@@ -94,11 +91,12 @@
 void StoreClient::Watch(absl::string_view prefix,
                         uint64_t after_revision,
                         absl::Duration wait,
+                        absl::Duration response_margin,
                         Callback callback) {
   const std::string target = absl::StrCat(
       "/boragepaddle/kv-watch?prefix=", QueryValue(prefix),
       "&after=", after_revision, "&wait_ms=", absl::ToInt64Milliseconds(wait));
-  this->http.Get(target, wait + kWatchMargin,
+  this->http.Get(target, wait + response_margin,
                  [callback = std::move(callback)](event::HttpGetResult result) {
                    callback(DecodePage(result.status, result.body));
                  });
--- a/src/boragepaddle/platform/store_client.h
+++ b/src/boragepaddle/platform/store_client.h
@@ -20,6 +20,7 @@
   void Watch(absl::string_view prefix,
              uint64_t after_revision,
              absl::Duration wait,
+             absl::Duration response_margin,
              Callback callback) override;
   void Abort() override;
 
--- a/src/boragepaddle/proxy/store_replicator.cc
+++ b/src/boragepaddle/proxy/store_replicator.cc
@@ -53,6 +53,7 @@
       // call alike.
       watch(loop, source, "", WatchSettings(), this->MakeWatchEvents()),
       started_at(event::BootNow()) {
+  this->feed_state.settings = feed::MakeFeedSettings(settings.change_deadline);
   this->feed_state.self = {settings.host, settings.availability_zone};
 }
 
@@ -95,6 +96,7 @@
     feed::OnStoreReadSucceeded(this->feed_state, now);
   }
   this->Apply(std::move(page), "store");
+  this->NotifyIfDue(now);
 }
 
 feed::UpdateError StoreReplicator::Apply(feed::ReplicaUpdate page,
@@ -146,9 +148,16 @@
   this->ApplyActions(feed::Advance(this->feed_state, this->random(), now));
   this->Fetch(now);
   this->ReportOutage(now);
+  this->NotifyIfDue(now);
+}
+
+void StoreReplicator::NotifyIfDue(absl::Time now) {
+  if (!feed::IsNoticeDue(this->feed_state, now)) {
+    return;
+  }
   const bool current = feed::IsCurrent(this->feed_state, now);
   this->ever_current |= current;
-  if (current != this->was_current) {
+  if (current != this->feed_state.notified_current) {
     const schema::FeedStamp stamp = this->CurrentStamp(now);
     this->log.LogState(
         LogLine("feed", current ? "copy_current" : "copy_stale")
@@ -157,11 +166,7 @@
             .Add("reads", this->feed_state.reading)
             .Add("revision", this->replica.revision));
   }
-  if (current != this->was_current ||
-      now - this->notice_sent_at >= this->feed_state.settings.notice_interval) {
-    this->was_current = current;
-    this->NotifySubscribers(now);
-  }
+  this->NotifySubscribers(now);
 }
 
 void StoreReplicator::OnProcessPause(absl::Time now) {
@@ -239,7 +244,7 @@
 }
 
 void StoreReplicator::NotifySubscribers(absl::Time now) {
-  this->notice_sent_at = now;
+  feed::OnNoticeSent(this->feed_state, now);
   const schema::FeedNotice notice{this->CurrentStamp(now)};
   for (const auto& [number, channel] : this->subscriber_channels) {
     channel->Send(notice);
@@ -270,6 +275,7 @@
     }
     this->ReportOutage(now);
     this->Fetch(now);
+    this->NotifyIfDue(now);
     return true;
   }
   if (const auto* fetch = std::get_if<schema::FeedFetch>(&message)) {
--- a/src/boragepaddle/proxy/store_replicator.h
+++ b/src/boragepaddle/proxy/store_replicator.h
@@ -79,6 +79,8 @@
   void ReportOutage(absl::Time now);
   /// Sends a notice to all subscribers and to sources with a stale copy.
   void NotifySubscribers(absl::Time now);
+  /// Same, if the last notice no longer tells how current the copy is.
+  void NotifyIfDue(absl::Time now);
   schema::FeedStamp CurrentStamp(absl::Time now) const;
 
   const NodeSettings& settings;
@@ -91,9 +93,7 @@
   event::PrefixWatcher watch;
   absl::Time started_at;
   absl::Time discovery_read_at = absl::InfinitePast();
-  bool was_current = false;
   bool ever_current = false;
-  absl::Time notice_sent_at = absl::InfinitePast();
   absl::Time reported_outage_at = absl::InfinitePast();
   /// Channels to the sources by address.
   absl::flat_hash_map<std::string, event::PeerChannelPtr> source_channels;
