Refuse requests that crash workers on the users' platform

Cause: the quarantine served only the product's own interface. The class of fault: a promise that one of the two data paths does not keep.

The proxy beside a worker now tells crashes from broken connections, and uses the existing table of suspects: the nodes of the service get reports, new processes and nodes that were cut off get them later, and a request with two crashes is refused as not run.

--- a/src/boragepaddle/event/worker_connection.cc
+++ b/src/boragepaddle/event/worker_connection.cc
@@ -118,6 +118,7 @@
           return;
         }
         self->connected = true;
+        self->opened_at = BootNow();
         SetTcpLivenessOptions(self->socket);
         self->Write();
       });
--- a/src/boragepaddle/event/worker_connection.h
+++ b/src/boragepaddle/event/worker_connection.h
@@ -36,6 +36,8 @@
   uint64_t id() const { return this->call_id; }
   uint64_t buffered_bytes() const { return this->buffered; }
   const Tcp::endpoint& worker() const { return this->endpoint; }
+  /// Time at which the connection was established; infinite future before that.
+  absl::Time connected_at() const { return this->opened_at; }
   /// Time from which the idle connection must not be reused.
   absl::Time usable_until() const { return this->reuse_until; }
 
@@ -66,6 +68,7 @@
   std::string request_id;
   /// Ids of the requests that were sent on this connection before.
   absl::flat_hash_set<std::string> previous_request_ids;
+  absl::Time opened_at = absl::InfiniteFuture();
   bool connected = false;
   bool sending = false;
   bool sent_any = false;
--- a/src/boragepaddle/event/worker_connection_pool.cc
+++ b/src/boragepaddle/event/worker_connection_pool.cc
@@ -68,6 +68,17 @@
   }
 }
 
+bool WorkerConnectionPool::HasConnectionFrom(absl::Time before) const {
+  const auto is_older = [before](const WorkerConnection& connection) {
+    return connection.connected_at() < before;
+  };
+  return std::any_of(this->idle.begin(), this->idle.end(),
+                     [&](const auto& entry) { return is_older(*entry); }) ||
+         std::any_of(
+             this->busy.begin(), this->busy.end(),
+             [&](const auto& entry) { return is_older(*entry.second); });
+}
+
 void WorkerConnectionPool::Release(
     const std::shared_ptr<WorkerConnection>& connection) {
   this->busy.erase(connection->id());
--- a/src/boragepaddle/event/worker_connection_pool.h
+++ b/src/boragepaddle/event/worker_connection_pool.h
@@ -85,6 +85,9 @@
   /// Closes idle connections that are about to reach the worker's idle timeout.
   void Tick(absl::Time now);
 
+  /// True if a connection that was established before the time is still open.
+  bool HasConnectionFrom(absl::Time before) const;
+
   size_t idle_connections() const { return this->idle.size(); }
   uint64_t opened() const { return this->opened_count; }
 
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -87,7 +87,10 @@
                   this->store,
                   this->workers,
                   log,
-                  this->metrics),
+                  this->metrics,
+                  [this](const std::vector<schema::CrashReport>& reports) {
+                    this->SendCrashReports(reports);
+                  }),
       peers(loop, this->MakePeerEvents()),
       router(loop,
              this->settings,
@@ -208,6 +211,9 @@
   this->replicator.SetHosts(this->store.workers);
   this->worker_side.OnDirectoryChanged();
   this->router.OnDirectoryChanged();
+  if (!this->requested_crash_reports) {
+    this->RequestCrashReports();
+  }
 }
 
 bool ProxyNode::IsReady() const {
@@ -259,6 +265,9 @@
                          static_cast<double>(this->replicator.subscribers()));
   this->metrics.SetGauge("feed_reads_store",
                          this->replicator.state().reading ? 1 : 0);
+  this->metrics.SetGauge(
+      "crash_suspects",
+      static_cast<double>(this->worker_side.CrashReports().size()));
   this->metrics.SetGauge("ready", this->IsReady() ? 1 : 0);
   reply.status = 200;
   reply.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -71,6 +71,11 @@
   /// Cancels calls whose sender did not reconnect in time.
   void ExpireCalls(absl::Time now);
   void OnChannelClosed(const event::PeerChannelPtr& channel);
+  /// Sends crash reports to the other nodes of the service.
+  void SendCrashReports(const std::vector<schema::CrashReport>& reports);
+  /// Connects to some nodes of the service, which then send their crash
+  /// reports.
+  void RequestCrashReports();
   void OnReadyProbe(const std::shared_ptr<event::HttpExchange>& exchange);
   void OnMetricsRequest(const std::shared_ptr<event::HttpExchange>& exchange);
   void ApplyChanges(const std::vector<schema::KeyValue>& items);
@@ -116,6 +121,7 @@
   absl::Time grant_sent_at = absl::InfinitePast();
   ShutdownState shutdown;
   bool was_ready = false;
+  bool requested_crash_reports = false;
 };
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/proxy_node_peers.cc
+++ b/src/boragepaddle/proxy/proxy_node_peers.cc
@@ -19,6 +19,9 @@
 constexpr absl::Duration kMinGrantInterval = absl::Milliseconds(100);
 constexpr absl::Duration kMaxGrantInterval = absl::Milliseconds(400);
 
+/// Nodes of the service that a new process asks for crash reports.
+constexpr size_t kCrashReportSources = 3;
+
 }  // namespace
 
 PeerNetworkEvents ProxyNode::MakePeerEvents() {
@@ -52,6 +55,8 @@
     this->OnPeerHello(channel, *hello);
   } else if (const auto* notice = std::get_if<schema::LoadNotice>(&message)) {
     this->router.OnLoadNotice(channel->host, *notice);
+  } else if (const auto* report = std::get_if<schema::CrashReport>(&message)) {
+    this->worker_side.OnCrashReport(*report);
   } else if (const auto* resume = std::get_if<schema::CallResume>(&message)) {
     this->OnPeerResume(channel, *resume);
   } else if (const auto* states = std::get_if<schema::CallStates>(&message)) {
@@ -80,11 +85,49 @@
                           channel->number);
   }
   this->replicator.OnHello(channel);
+  if (hello.service == this->settings.service) {
+    for (const schema::CrashReport& report : this->worker_side.CrashReports()) {
+      channel->Send(report);
+    }
+  }
   if (this->shutdown_started_at != absl::InfiniteFuture()) {
     channel->Send(this->worker_side.MakeLoadNotice());
   }
 }
 
+void ProxyNode::SendCrashReports(
+    const std::vector<schema::CrashReport>& reports) {
+  if (reports.empty()) {
+    return;
+  }
+  for (const auto& [instance, worker] : this->store.workers.entries) {
+    if (worker.service != this->settings.service ||
+        worker.host == this->settings.host) {
+      continue;
+    }
+    const PeerChannelPtr channel =
+        this->peers.ChannelTo(worker.host, this->settings.peer_port);
+    for (const schema::CrashReport& report : reports) {
+      if (channel != nullptr) {
+        channel->Send(report);
+      }
+    }
+  }
+}
+
+void ProxyNode::RequestCrashReports() {
+  size_t sources = 0;
+  for (const auto& [instance, worker] : this->store.workers.entries) {
+    if (sources < kCrashReportSources && worker.host != this->settings.host &&
+        worker.service == this->settings.service &&
+        this->peers.ChannelTo(worker.host, this->settings.peer_port) !=
+            nullptr) {
+      ++sources;
+    }
+  }
+  this->requested_crash_reports = sources > 0;
+}
+
 void ProxyNode::OnPeerCall(const PeerChannelPtr& channel,
                            schema::HttpCall call) {
   const uint64_t sender = channel->peer_incarnation;
--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -244,7 +244,10 @@
   const absl::Time now = event::BootNow();
   call.retry_after =
       std::max(call.retry_after, absl::Microseconds(answer.retry_after_us));
-  if (answer.offered) {
+  if (answer.reason == Reason::kQuarantined) {
+    // All nodes of the service refuse the request.
+    call.retry_after = this->bounds.max_retry_after;
+  } else if (answer.offered) {
     // The worker itself rejected the call, so another attempt uses the retry
     // budget.
     ++call.worker_rejections;
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "boragepaddle/base/stable_hash.h"
 #include "boragepaddle/event/clock.h"
 
 namespace boragepaddle::proxy {
@@ -24,6 +25,15 @@
 /// A call with less time left is not sent to the worker.
 constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(5);
 
+/// Interval at which reports of rejected requests are repeated. Shorter than
+/// the time after which a node that was cut off counts as reachable again.
+constexpr absl::Duration kCrashReportInterval = absl::Seconds(1);
+
+/// Equal for all attempts of a request, by any client and at any node.
+uint64_t Fingerprint(const schema::HttpCall& call) {
+  return base::StableHash({call.method, call.target, call.body});
+}
+
 Outcome OutcomeOf(event::WorkerOutcome end) {
   switch (end) {
     case event::WorkerOutcome::kAnswered:
@@ -62,15 +72,19 @@
                          const StoreState& store,
                          event::WorkerConnectionPool& pool,
                          telemetry::EventLog& log,
-                         telemetry::RequestMetrics& metrics)
+                         telemetry::RequestMetrics& metrics,
+                         ReportCrashes report_crashes)
     : settings(settings),
       dialect(dialect),
       store(store),
       pool(pool),
       log(log),
       metrics(metrics),
+      report_crashes(std::move(report_crashes)),
       limiter(
           admission::MakeWorkerLimiter(admission::WorkerLimiterSettings())) {
+  this->quarantine.settings.service = settings.service;
+  this->quarantine.settings.vm_id = settings.vm_id;
   this->OnDirectoryChanged();
 }
 
@@ -81,6 +95,11 @@
 
 void WorkerProxy::OnDirectoryChanged() {
   const catalog::WorkerEntry* worker = this->LocalWorker();
+  if (this->quarantine.settings.service != this->settings.service) {
+    // A reload moved the node to another service.
+    this->quarantine.suspects.clear();
+    this->quarantine.settings.service = this->settings.service;
+  }
   this->limiter.slots = worker == nullptr ? kDefaultSlots : worker->slots;
   const bool is_unlisted =
       worker == nullptr && !this->store.workers.entries.empty();
@@ -92,10 +111,14 @@
   }
 }
 
-Reason WorkerProxy::CheckCall(const schema::HttpCall& call) const {
+Reason WorkerProxy::CheckCall(const Call& call, absl::Time now) const {
   if (this->refuses_calls) {
     return Reason::kLeaving;
   }
+  if (quarantine::DecideAdmission(this->quarantine, call.fingerprint, now) ==
+      quarantine::QuarantineDecision::kReject) {
+    return Reason::kQuarantined;
+  }
   const catalog::WorkerEntry* worker = this->LocalWorker();
   if (worker == nullptr) {
     // Without a list of workers, the node relies on the list of the sender; the
@@ -106,8 +129,8 @@
   if (worker->draining) {
     return Reason::kLeaving;
   }
-  const bool is_same_instance =
-      worker->instance == call.instance && worker->service == call.service;
+  const bool is_same_instance = worker->instance == call.message.instance &&
+                                worker->service == call.message.service;
   return is_same_instance ? Reason::kNone : Reason::kIncarnationGone;
 }
 
@@ -116,10 +139,11 @@
   const uint64_t id = this->next_id++;
   Call& call = this->calls[id];
   call.message = std::move(message);
+  call.fingerprint = Fingerprint(call.message);
   call.reply = std::move(reply);
   call.arrived = now;
   call.deadline = now + absl::Microseconds(call.message.time_left_us);
-  const Reason refusal = this->CheckCall(call.message);
+  const Reason refusal = this->CheckCall(call, now);
   if (refusal != Reason::kNone) {
     this->Refuse(id, refusal);
     return id;
@@ -197,6 +221,7 @@
       result.outcome != event::WorkerOutcome::kNotSent;
   this->admission_rate_input.rejected +=
       result.outcome == event::WorkerOutcome::kNotRun;
+  this->RecordCallEnd(id, result.outcome, now);
   schema::HttpAnswer answer;
   answer.outcome = OutcomeOf(result.outcome);
   answer.reason = ReasonOf(result.outcome);
@@ -208,6 +233,56 @@
   this->Finish(id, std::move(answer));
 }
 
+void WorkerProxy::RecordCallEnd(uint64_t id,
+                                event::WorkerOutcome outcome,
+                                absl::Time now) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  const uint64_t fingerprint = found->second.fingerprint;
+  if (outcome == event::WorkerOutcome::kConnectionLost) {
+    quarantine::OnBrokenCall(this->crash_detector, fingerprint, now);
+  } else if (outcome == event::WorkerOutcome::kAnswered) {
+    const auto cleared =
+        quarantine::OnCompleted(this->quarantine, fingerprint, now);
+    if (cleared) {
+      this->report_crashes({*cleared});
+    }
+  }
+}
+
+void WorkerProxy::TickCrashes(absl::Time now) {
+  if (quarantine::IsCrashCheckDue(this->crash_detector, now)) {
+    const bool is_open =
+        this->pool.HasConnectionFrom(this->crash_detector.broken_at);
+    const std::vector<uint64_t> broken =
+        quarantine::EndCrashCheck(this->crash_detector, is_open);
+    if (!broken.empty()) {
+      const uint64_t crash_id = base::StableHash(
+          {this->settings.vm_id, absl::StrCat(absl::ToUnixNanos(now))});
+      const auto reports = quarantine::OnWorkerCrash(
+          this->quarantine, broken, crash_id, /*peers=*/{}, now);
+      this->log.LogState(telemetry::LogLine("worker", "crashed")
+                             .Add("broken_calls", broken.size())
+                             .Add("suspects", reports.size()));
+      this->report_crashes(reports);
+    }
+  }
+  if (now - this->crashes_reported_at >= kCrashReportInterval) {
+    this->crashes_reported_at = now;
+    this->report_crashes(quarantine::OwnRejections(this->quarantine, now));
+  }
+}
+
+void WorkerProxy::OnCrashReport(const schema::CrashReport& report) {
+  quarantine::OnCrashReport(this->quarantine, report, event::BootNow());
+}
+
+std::vector<schema::CrashReport> WorkerProxy::CrashReports() const {
+  return quarantine::AllReports(this->quarantine, event::BootNow());
+}
+
 void WorkerProxy::AttachUse(uint64_t id,
                             schema::HttpAnswer& answer,
                             absl::Time now) {
@@ -364,6 +439,7 @@
 }
 
 void WorkerProxy::Tick(absl::Time now) {
+  this->TickCrashes(now);
   this->ApplyDecisions(admission::OnLimiterTick(this->limiter, now), now);
   this->admission_rate_input.queued =
       static_cast<uint32_t>(this->limiter.queue.size());
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -19,6 +19,8 @@
 #include "boragepaddle/proxy/dialect.h"
 #include "boragepaddle/proxy/node_settings.h"
 #include "boragepaddle/proxy/store_state.h"
+#include "boragepaddle/quarantine/crash_detector.h"
+#include "boragepaddle/quarantine/quarantine.h"
 #include "boragepaddle/schema/messages.h"
 #include "boragepaddle/telemetry/event_log.h"
 #include "boragepaddle/telemetry/request_metrics.h"
@@ -38,13 +40,17 @@
 class WorkerProxy {
  public:
   using Reply = std::function<void(schema::HttpAnswer)>;
+  /// Sends crash reports to the other nodes of the service.
+  using ReportCrashes =
+      std::function<void(const std::vector<schema::CrashReport>&)>;
 
   WorkerProxy(const NodeSettings& settings,
               const HttpDialect& dialect,
               const StoreState& store,
               event::WorkerConnectionPool& pool,
               telemetry::EventLog& log,
-              telemetry::RequestMetrics& metrics);
+              telemetry::RequestMetrics& metrics,
+              ReportCrashes report_crashes);
 
   /// Returns an id for Cancel. The reply may be invoked before this returns.
   uint64_t Handle(schema::HttpCall call, Reply reply);
@@ -80,6 +86,11 @@
   void AddNestedUse(absl::string_view request_id,
                     absl::Span<const schema::ServiceUse> use);
 
+  /// Another node of the service reported a crash of its worker.
+  void OnCrashReport(const schema::CrashReport& report);
+  /// What this node knows of requests that crashed workers of the service.
+  std::vector<schema::CrashReport> CrashReports() const;
+
   schema::LoadNotice MakeLoadNotice() const;
   void LogLoad();
   /// True if the worker is near its limit, so that other nodes need its
@@ -93,6 +104,8 @@
  private:
   struct Call {
     schema::HttpCall message;
+    /// Identifies the request in all its attempts.
+    uint64_t fingerprint = 0;
     Reply reply;
     absl::Time arrived;
     absl::Time started_at;
@@ -107,10 +120,15 @@
   };
 
   const catalog::WorkerEntry* LocalWorker() const;
-  schema::Reason CheckCall(const schema::HttpCall& call) const;
+  schema::Reason CheckCall(const Call& call, absl::Time now) const;
+  /// Ends a due check for a crash of the worker, and repeats the reports of
+  /// rejected requests for nodes that missed them.
+  void TickCrashes(absl::Time now);
   void ApplyDecisions(const admission::SlotDecisions& actions, absl::Time now);
   void StartCall(uint64_t id, absl::Time now);
   void OnResult(uint64_t id, event::WorkerResult result);
+  /// Updates what is known of crashes by the end of a call at the worker.
+  void RecordCallEnd(uint64_t id, event::WorkerOutcome outcome, absl::Time now);
   void AttachUse(uint64_t id, schema::HttpAnswer& answer, absl::Time now);
   void Refuse(uint64_t id, schema::Reason reason);
   void Finish(uint64_t id, schema::HttpAnswer answer);
@@ -124,6 +142,10 @@
   event::WorkerConnectionPool& pool;
   telemetry::EventLog& log;
   telemetry::RequestMetrics& metrics;
+  const ReportCrashes report_crashes;
+  quarantine::QuarantineState quarantine;
+  quarantine::CrashDetector crash_detector;
+  absl::Time crashes_reported_at = absl::InfinitePast();
   admission::WorkerLimiter limiter;
   admission::AdmissionRateController admission_rate;
   admission::AdmissionRateInput admission_rate_input;
--- a/src/boragepaddle/quarantine/quarantine.cc
+++ b/src/boragepaddle/quarantine/quarantine.cc
@@ -208,6 +208,29 @@
   return reports;
 }
 
+std::vector<CrashReport> AllReports(const QuarantineState& state,
+                                    absl::Time now) {
+  std::vector<CrashReport> reports;
+  for (const auto& [fingerprint, suspect] : state.suspects) {
+    if (suspect.expiry > now) {
+      reports.push_back(MakeReport(state, fingerprint, suspect, now));
+    }
+  }
+  return reports;
+}
+
+std::vector<CrashReport> OwnRejections(const QuarantineState& state,
+                                       absl::Time now) {
+  std::vector<CrashReport> reports;
+  for (const auto& [fingerprint, suspect] : state.suspects) {
+    if (suspect.expiry > now && suspect.crashes >= kRefusedCrashes &&
+        suspect.runner == state.settings.vm_id) {
+      reports.push_back(MakeReport(state, fingerprint, suspect, now));
+    }
+  }
+  return reports;
+}
+
 QuarantineDecision DecideAdmission(const QuarantineState& state,
                                    uint64_t fingerprint,
                                    absl::Time now) {
--- a/src/boragepaddle/quarantine/quarantine.h
+++ b/src/boragepaddle/quarantine/quarantine.h
@@ -95,6 +95,14 @@
     absl::Span<const std::string> peers,
     absl::Time now);
 
+/// Reports of all suspects, for a node that may have missed them.
+std::vector<schema::CrashReport> AllReports(const QuarantineState& state,
+                                            absl::Time now);
+
+/// Reports of the rejected requests whose last crash this node reported.
+std::vector<schema::CrashReport> OwnRejections(const QuarantineState& state,
+                                               absl::Time now);
+
 /// Returns whether and where the request may run.
 QuarantineDecision DecideAdmission(const QuarantineState& state,
                                    uint64_t fingerprint,
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "boragepaddle/quarantine/crash_detector.h"
+
 namespace boragepaddle::quarantine {
 namespace {
 
@@ -117,6 +119,44 @@
   CHECK(OnWorkerCrash(a, {kFingerprint}, 2, {"b"}, kNow).size() == 1);
 }
 
+// Guards against a crashing request that a node runs because it missed the
+// reports of the other nodes.
+TEST_CASE("quarantine: a new node learns of rejected requests from any other") {
+  QuarantineState a = Node("a");
+  QuarantineState b = Node("b");
+  Deliver(OnWorkerCrash(a, {kFingerprint}, 1, {}, kNow), b);
+  Deliver(OnWorkerCrash(b, {kFingerprint}, 2, {}, kNow), a);
+  for (QuarantineState* source : {&a, &b}) {
+    QuarantineState started = Node("c");
+    Deliver(AllReports(*source, kNow), started);
+    CHECK(DecideAdmission(started, kFingerprint, kNow) ==
+          QuarantineDecision::kReject);
+  }
+  // Only the node that reported the last crash repeats its report.
+  CHECK(OwnRejections(a, kNow).empty());
+  QuarantineState reconnected = Node("d");
+  Deliver(OwnRejections(b, kNow), reconnected);
+  CHECK(DecideAdmission(reconnected, kFingerprint, kNow) ==
+        QuarantineDecision::kReject);
+}
+
+// Guards against requests that are refused because the network or the worker
+// ended some connections.
+TEST_CASE("quarantine: a worker that keeps a connection has not crashed") {
+  CrashDetector detector;
+  CHECK_FALSE(IsCrashCheckDue(detector, kNow));
+  OnBrokenCall(detector, kFingerprint, kNow);
+  OnBrokenCall(detector, 5, kNow + absl::Milliseconds(20));
+  CHECK_FALSE(IsCrashCheckDue(detector, kNow + absl::Milliseconds(20)));
+  REQUIRE(IsCrashCheckDue(detector, kNow + absl::Milliseconds(50)));
+  CHECK(EndCrashCheck(detector, /*is_older_connection_open=*/true).empty());
+  OnBrokenCall(detector, kFingerprint, kNow);
+  OnBrokenCall(detector, 5, kNow);
+  CHECK(EndCrashCheck(detector, /*is_older_connection_open=*/false) ==
+        std::vector<uint64_t>{kFingerprint, 5});
+  CHECK_FALSE(IsCrashCheckDue(detector, kNow + absl::Seconds(1)));
+}
+
 // Guards against memory growing with the number of crashes.
 TEST_CASE("quarantine: a full table evicts suspects before rejected requests") {
   QuarantineState a = Node("a");
--- a/tools/mesh/platform_fakes.py
+++ b/tools/mesh/platform_fakes.py
@@ -3,6 +3,7 @@
 import base64
 import http.server
 import json
+import socket
 import threading
 import time
 import urllib.parse
@@ -16,9 +17,31 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def __init__(self, address, handler):
+        self.connections = set()
+        super().__init__(address, handler)
+
     def handle_error(self, request, client_address):
         """Ignores disconnects, such as those of killed nodes."""
 
+    def process_request(self, request, client_address):
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def close_all(self):
+        """Closes the listener and all connections, as the end of the process would."""
+        self.shutdown()
+        self.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
 
 class FakeStore:
     """Revisioned key-value store with range reads and watches. Outages can be simulated."""
@@ -178,10 +201,19 @@
 
             do_GET = do_POST = handle_any
 
+        self.handler = Handler
         self.server = _Server((host, port), Handler)
         self.address = "%s:%d" % self.server.server_address
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
+    def crash(self, down_s):
+        """Closes all connections and refuses new ones for a while."""
+        address = self.server.server_address
+        self.server.close_all()
+        time.sleep(down_s)
+        self.server = _Server(address, self.handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
     def entry(self, state="ready"):
         return {"service": self.service, "address": self.address, "zone": "z", "version": "v1",
                 "slots": self.slots, "state": state, "cold_remaining_s": 0, "sequence": 1, "born": 1}
