Count nodes whose worker is not listed for the retry budget

With most workers of a fleet crashed and their entries expired, the shares of the retry budget's allowance of all nodes added up to several times the allowance (rule BUDGET). The class of fault: a count of one thing that stands for another.

--- a/src/boragepaddle/proxy/request_router.cc
+++ b/src/boragepaddle/proxy/request_router.cc
@@ -193,6 +193,7 @@
 
 void RequestRouter::OnDirectoryChanged() {
   routing::RemoveUnlistedWorkers(this->loads, this->store.workers);
+  retry::OnDirectoryChanged(this->fleet, this->store.workers, event::BootNow());
 }
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/request_router.h
+++ b/src/boragepaddle/proxy/request_router.h
@@ -17,6 +17,7 @@
 #include "boragepaddle/proxy/routed_call.h"
 #include "boragepaddle/proxy/store_state.h"
 #include "boragepaddle/proxy/worker_proxy.h"
+#include "boragepaddle/retry/fleet_size.h"
 #include "boragepaddle/retry/retry_budget.h"
 #include "boragepaddle/routing/root_rate_limiter.h"
 #include "boragepaddle/routing/weighted_round_robin.h"
@@ -168,6 +169,8 @@
   absl::flat_hash_map<uint64_t, uint32_t> attempts_by_channel;
   absl::flat_hash_map<std::string, routing::WeightedRoundRobin> splits;
   absl::flat_hash_map<std::string, retry::RetryBudget> budgets;
+  /// Nodes that share the retry budgets.
+  retry::FleetSize fleet;
   routing::LoadTable loads;
   routing::RootRateLimiter root_limiter;
   /// Requests of each route at the last LogRootCosts.
--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -293,7 +293,7 @@
       call.priority == 0 ? 1.0 : this->bounds.low_priority_retry_fraction;
   return retry::TryTakeRetry(this->budgets[call.service],
                              this->BudgetSettings(), part,
-                             this->store.workers.entries.size(), now);
+                             retry::CountNodes(this->fleet), now);
 }
 
 retry::RetryBudgetSettings RequestRouter::BudgetSettings() const {
--- a/tests/unit/platform_path/repeat_budget_test.cc
+++ b/tests/unit/platform_path/repeat_budget_test.cc
@@ -4,6 +4,9 @@
 
 #include <vector>
 
+#include "absl/strings/str_cat.h"
+#include "boragepaddle/retry/fleet_size.h"
+
 namespace boragepaddle::retry {
 namespace {
 
@@ -50,6 +53,43 @@
   }
 }
 
+// Guards against nodes whose shares of the allowance add up to more than the
+// allowance because fewer workers are listed than nodes send requests (rule
+// BUDGET).
+TEST_CASE("Nodes whose workers are not listed count for the retry budget") {
+  constexpr size_t kNodes = 13;
+  constexpr double kAllowance = 47;
+  RetryBudgetSettings settings;
+  settings.allowance = kAllowance;
+  catalog::WorkerDirectory directory;
+  FleetSize fleet;
+  for (size_t index = 0; index < kNodes; ++index) {
+    catalog::WorkerEntry entry;
+    entry.instance = absl::StrCat("i-", index);
+    entry.host = absl::StrCat("10.1.0.", index);
+    directory.entries[entry.instance] = entry;
+  }
+  OnDirectoryChanged(fleet, directory, At(0));
+  // The workers of most nodes crash, and their entries expire.
+  while (directory.entries.size() > 3) {
+    directory.entries.erase(directory.entries.begin());
+  }
+  OnDirectoryChanged(fleet, directory, At(1));
+  std::vector<RetryBudget> nodes(kNodes);
+  size_t retries = 0;
+  for (double now = 1; now < 10; now += 0.01) {
+    for (RetryBudget& node : nodes) {
+      retries +=
+          TryTakeRetry(node, settings, 1, CountNodes(fleet), At(now)) ? 1 : 0;
+    }
+  }
+  CHECK(static_cast<double>(retries) <= kAllowance);
+  directory.entries.clear();
+  OnDirectoryChanged(fleet, directory,
+                     At(1) + 2 * FleetSizeSettings().retention);
+  CHECK(CountNodes(fleet) <= 3);
+}
+
 TEST_CASE("A burst of retries does not use up the budget of the whole window") {
   RetryBudgetSettings settings;
   RetryBudget budget;
