Give new processes no retry allowance in their first window

A process that restarts begins with an empty record of its retries, so each restart gave its node the fixed allowance of the retry budget again: with restarts every 3 s, all nodes together could retry over twice the limit in a window (rule BUDGET). The class of fault: state that a limit needs is lost with the process.

The allowance is available one window after the start of a process; until then retries are a share of the requests only.

Test: unit 'Restarts do not renew the allowance of the retry budget'; before, up to 104 retries in a window with a limit of 47.

--- a/src/boragepaddle/proxy/request_router.cc
+++ b/src/boragepaddle/proxy/request_router.cc
@@ -49,7 +49,8 @@
       peers(peers),
       log(log),
       metrics(metrics),
-      random(std::random_device()()) {}
+      random(std::random_device()()),
+      started(event::BootNow()) {}
 
 void RequestRouter::OnRequest(
     const std::shared_ptr<event::HttpExchange>& exchange) {
--- a/src/boragepaddle/proxy/request_router.h
+++ b/src/boragepaddle/proxy/request_router.h
@@ -159,6 +159,7 @@
   telemetry::EventLog& log;
   telemetry::RequestMetrics& metrics;
   std::mt19937_64 random;
+  const absl::Time started;
   bool draining = false;
   uint64_t next_id = 1;
   uint64_t next_attempt = 1;
--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -301,6 +301,7 @@
   budget.ratio = this->settings.retry_budget_ratio;
   budget.allowance = this->settings.retry_budget_allowance;
   budget.window = this->settings.retry_budget_window;
+  budget.allowance_from = this->started + budget.window;
   return budget;
 }
 
--- a/src/boragepaddle/retry/retry_budget.cc
+++ b/src/boragepaddle/retry/retry_budget.cc
@@ -82,7 +82,10 @@
   const int64_t number = SliceNumber(settings, now);
   const History history = MakeHistory(budget, number);
   const double own_allowance =
-      settings.allowance / static_cast<double>(std::max<size_t>(nodes, 1));
+      now < settings.allowance_from
+          ? 0
+          : settings.allowance /
+                static_cast<double>(std::max<size_t>(nodes, 1));
   const double used = part * settings.safety_factor;
   // The retry counts against every window that includes the current slice.
   for (int64_t start = kHistory - kWindow; start < kHistory; ++start) {
--- a/src/boragepaddle/retry/retry_budget.h
+++ b/src/boragepaddle/retry/retry_budget.h
@@ -16,6 +16,9 @@
   double ratio = 0.2;
   /// Additional retries allowed per window, over all nodes.
   double allowance = 0;
+  /// Time from which on the allowance is available: one window after the start
+  /// of the process, since an earlier process may have used it in this window.
+  absl::Time allowance_from = absl::InfinitePast();
   /// Length of the sliding window in which the limit holds.
   absl::Duration window = absl::Seconds(10);
   /// Share of the limit that is used. Leaves a margin, since the limit is
--- a/tests/unit/platform_path/repeat_budget_test.cc
+++ b/tests/unit/platform_path/repeat_budget_test.cc
@@ -4,6 +4,7 @@
 
 #include <vector>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 #include "boragepaddle/retry/fleet_size.h"
 
@@ -53,6 +54,36 @@
   }
 }
 
+// Guards against processes that use the allowance of the same window again
+// after each restart (rule BUDGET).
+TEST_CASE("Restarts do not renew the allowance of the retry budget") {
+  constexpr size_t kNodes = 13;
+  constexpr double kAllowance = 47;
+  RetryBudgetSettings settings;
+  settings.allowance = kAllowance;
+  std::vector<RetryBudget> nodes(kNodes);
+  std::vector<double> retries_at;
+  double restarted_at = 0;
+  for (double now = 0; now < 60; now += 0.01) {
+    if (now - restarted_at >= 3 && now > 25) {
+      nodes.assign(kNodes, RetryBudget());
+      restarted_at = now;
+      settings.allowance_from = At(now) + settings.window;
+    }
+    for (RetryBudget& node : nodes) {
+      if (now > 20 && TryTakeRetry(node, settings, 1, kNodes, At(now))) {
+        retries_at.push_back(now);
+      }
+    }
+  }
+  REQUIRE(!retries_at.empty());
+  for (double from = 20; from < 50; from += 0.5) {
+    CHECK(absl::c_count_if(retries_at, [from](double at) {
+            return at >= from && at < from + 10;
+          }) <= kAllowance);
+  }
+}
+
 // Guards against nodes whose shares of the allowance add up to more than the
 // allowance because fewer workers are listed than nodes send requests (rule
 // BUDGET).
