--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -25,6 +25,11 @@
 /// A call with less time left is not sent to the worker.
 constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(5);
 
+/// Worker crashes after which a request is refused: the users' rules count what
+/// is sent after the third. With fewer, requests that only ran beside crashes
+/// of many workers were refused.
+constexpr uint32_t kRejectedCrashes = 3;
+
 /// Interval at which reports of rejected requests are repeated. Shorter than
 /// the time after which a node that was cut off counts as reachable again.
 constexpr absl::Duration kCrashReportInterval = absl::Seconds(1);
@@ -85,6 +90,7 @@
           admission::MakeWorkerLimiter(admission::WorkerLimiterSettings())) {
   this->quarantine.settings.service = settings.service;
   this->quarantine.settings.vm_id = settings.vm_id;
+  this->quarantine.settings.rejected_crashes = kRejectedCrashes;
   this->OnDirectoryChanged();
 }
 
--- a/src/boragepaddle/quarantine/quarantine.cc
+++ b/src/boragepaddle/quarantine/quarantine.cc
@@ -10,8 +10,6 @@
 
 using schema::CrashReport;
 
-// Number of worker crashes after which every node rejects the request.
-constexpr uint32_t kRefusedCrashes = 2;
 // Stops the reassignment when all workers of the service are down. The last
 // runner then executes the request once its worker has recovered.
 constexpr uint32_t kMaxHandovers = 16;
@@ -36,9 +34,14 @@
   return std::string(candidates[(fingerprint + handover) % candidates.size()]);
 }
 
+bool IsRejected(const QuarantineState& state, const Suspect& suspect) {
+  return suspect.crashes >= state.settings.rejected_crashes;
+}
+
 absl::Duration EntryTtl(const QuarantineState& state, uint32_t crashes) {
-  return crashes >= kRefusedCrashes ? state.settings.refusal_ttl
-                                    : state.settings.suspect_ttl;
+  return crashes >= state.settings.rejected_crashes
+             ? state.settings.refusal_ttl
+             : state.settings.suspect_ttl;
 }
 
 CrashReport MakeReport(const QuarantineState& state,
@@ -56,7 +59,7 @@
   return report;
 }
 
-/// Evicts one entry if the table is full. Suspects with one crash are evicted
+/// Evicts one entry if the table is full. Suspects are evicted
 /// before rejected requests; within each group, the earliest expiry goes first.
 void EvictIfFull(QuarantineState& state) {
   if (state.suspects.size() < state.settings.max_entries) {
@@ -64,9 +67,9 @@
   }
   const auto evicted = std::min_element(
       state.suspects.begin(), state.suspects.end(),
-      [](const auto& a, const auto& b) {
-        const bool a_refused = a.second.crashes >= kRefusedCrashes;
-        const bool b_refused = b.second.crashes >= kRefusedCrashes;
+      [&state](const auto& a, const auto& b) {
+        const bool a_refused = IsRejected(state, a.second);
+        const bool b_refused = IsRejected(state, b.second);
         return a_refused != b_refused ? b_refused
                                       : a.second.expiry < b.second.expiry;
       });
@@ -178,8 +181,7 @@
                                         absl::Time now) {
   RecordCompletion(state, fingerprint, now);
   const auto found = state.suspects.find(fingerprint);
-  if (found == state.suspects.end() ||
-      found->second.crashes >= kRefusedCrashes) {
+  if (found == state.suspects.end() || IsRejected(state, found->second)) {
     return absl::nullopt;
   }
   CrashReport report = MakeReport(state, fingerprint, found->second, now);
@@ -196,7 +198,7 @@
   std::vector<CrashReport> reports;
   for (auto& [fingerprint, suspect] : state.suspects) {
     const bool other_crash = crash_id != 0 && suspect.crash_id != crash_id;
-    if (suspect.crashes >= kRefusedCrashes || suspect.runner != from_vm ||
+    if (IsRejected(state, suspect) || suspect.runner != from_vm ||
         other_crash || suspect.handover >= kMaxHandovers) {
       continue;
     }
@@ -223,7 +225,7 @@
                                        absl::Time now) {
   std::vector<CrashReport> reports;
   for (const auto& [fingerprint, suspect] : state.suspects) {
-    if (suspect.expiry > now && suspect.crashes >= kRefusedCrashes &&
+    if (suspect.expiry > now && IsRejected(state, suspect) &&
         suspect.runner == state.settings.vm_id) {
       reports.push_back(MakeReport(state, fingerprint, suspect, now));
     }
@@ -239,7 +241,7 @@
     return QuarantineDecision::kAllow;
   }
   const Suspect& suspect = found->second;
-  if (suspect.crashes >= kRefusedCrashes) {
+  if (IsRejected(state, suspect)) {
     return QuarantineDecision::kReject;
   }
   return suspect.runner == state.settings.vm_id
--- a/src/boragepaddle/quarantine/quarantine.h
+++ b/src/boragepaddle/quarantine/quarantine.h
@@ -21,9 +21,11 @@
   std::string service;
   std::string vm_id;
   size_t max_entries = 4096;
-  /// Time after which a suspect with one crash is no longer restricted.
+  /// Number of worker crashes after which every node rejects the request.
+  uint32_t rejected_crashes = 2;
+  /// Time after which a suspect with fewer crashes is forgotten.
   absl::Duration suspect_ttl = absl::Minutes(1);
-  /// Time for which a request with two crashes is rejected.
+  /// Time for which a request is rejected after its last crash.
   absl::Duration refusal_ttl = absl::Minutes(10);
   /// Time for which a completed request does not become a suspect.
   absl::Duration completed_ttl = absl::Seconds(10);
@@ -59,7 +61,7 @@
   kAllowExclusive,
   /// Only another VM may run it.
   kOtherVm,
-  /// The request was in flight in two worker crashes.
+  /// The request was in flight in `rejected_crashes` worker crashes.
   kReject,
 };
 
