Keep the rate limit that a worker names

Cause: nothing read the field.

The proxy beside a worker, the only way to it, now starts calls at the named rate at most, until an answer names none. The admission rate and the choice of a worker count what is left of the rate. Calls carry the limit that their sender knows, so that a new process beside the worker does not send a burst that the other nodes still answer for.

Test: integration worker_headers_test.py, three real nodes, the one beside the worker replaced; before, 806 requests in 4 s with a limit of 80.

--- a/src/boragepaddle/admission/admission_rate.cc
+++ b/src/boragepaddle/admission/admission_rate.cc
@@ -27,14 +27,16 @@
   return arrivals;
 }
 
-/// Load from new arrivals and from draining the queue.
+/// Load from new arrivals and from draining the queue, relative to the slots or
+/// to the rate limit of the worker.
 double SlotLoad(const AdmissionRateController& controller,
                 const AdmissionRateInput& input,
                 double rate) {
   const double mean = absl::ToDoubleSeconds(input.mean_time);
   const double queue_drain_time =
       absl::ToDoubleSeconds(controller.settings.queue_drain_time);
-  return (rate + input.queued / queue_drain_time) * mean / input.limit;
+  const double total_rate = rate + input.queued / queue_drain_time;
+  return std::max(total_rate * mean / input.limit, total_rate / input.max_rate);
 }
 
 /// Load relative to the retry budget: each rejected call is retried once.
--- a/src/boragepaddle/admission/admission_rate.h
+++ b/src/boragepaddle/admission/admission_rate.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 
 #include "absl/time/time.h"
 
@@ -50,6 +51,8 @@
   uint32_t limit = 0;
   /// Mean time for which a call holds a slot.
   absl::Duration mean_time;
+  /// Calls per second that the worker accepts.
+  double max_rate = std::numeric_limits<double>::infinity();
 };
 
 /// Controls the factor on the share of a worker's capacity that each entry node
@@ -59,7 +62,8 @@
 struct AdmissionRateController {
   AdmissionRateSettings settings;
   double factor = 1.35;
-  /// Offered load in the last window; 1 is the worker's concurrency limit.
+  /// Offered load in the last window; 1 is the worker's concurrency or rate
+  /// limit.
   double load = 0;
   /// Smoothed share of calls that the worker rejected.
   double rejected_share = 0;
--- a/src/boragepaddle/admission/worker_limiter.cc
+++ b/src/boragepaddle/admission/worker_limiter.cc
@@ -32,11 +32,54 @@
   return std::min(bounded, call.give_up_at - now);
 }
 
+/// Lowest rate limit, in calls per second: without any call the worker could
+/// not report that it accepts more.
+constexpr double kMinRate = 0.25;
+
+double RateBurst(const WorkerLimiter& limiter) {
+  return std::max(1.0, limiter.max_rate *
+                           absl::ToDoubleSeconds(limiter.settings.rate_burst));
+}
+
+double RateTokens(const WorkerLimiter& limiter, absl::Time now) {
+  // Calls of one loop iteration may use an earlier time than the last refill.
+  const double seconds =
+      std::max(0.0, absl::ToDoubleSeconds(now - limiter.rate_refilled_at));
+  return std::min(RateBurst(limiter),
+                  limiter.rate_tokens + seconds * limiter.max_rate);
+}
+
+void RefillRateTokens(WorkerLimiter& limiter, absl::Time now) {
+  if (!std::isinf(limiter.max_rate)) {
+    limiter.rate_tokens = RateTokens(limiter, now);
+    limiter.rate_refilled_at = std::max(limiter.rate_refilled_at, now);
+  }
+}
+
+bool CanStart(const WorkerLimiter& limiter) {
+  return limiter.running.size() < ConcurrencyLimit(limiter) &&
+         (std::isinf(limiter.max_rate) || limiter.rate_tokens >= 1);
+}
+
+/// Time until `calls` calls have started.
+absl::Duration TimeToStart(const WorkerLimiter& limiter, double calls) {
+  absl::Duration wait;
+  if (limiter.running.size() >= ConcurrencyLimit(limiter)) {
+    wait = limiter.mean_time * (calls / ConcurrencyLimit(limiter));
+  }
+  if (!std::isinf(limiter.max_rate)) {
+    const double missing = std::max(0.0, calls - limiter.rate_tokens);
+    wait = std::max(wait, absl::Seconds(missing / limiter.max_rate));
+  }
+  return wait;
+}
+
 void StartCall(WorkerLimiter& limiter,
                uint64_t id,
                absl::Time now,
                SlotDecisions& out) {
   limiter.running[id] = now;
+  limiter.rate_tokens -= std::isinf(limiter.max_rate) ? 0 : 1;
   out.start.push_back(id);
 }
 
@@ -50,8 +93,8 @@
 }
 
 void StartQueued(WorkerLimiter& limiter, absl::Time now, SlotDecisions& out) {
-  while (!limiter.queue.empty() &&
-         limiter.running.size() < ConcurrencyLimit(limiter)) {
+  RefillRateTokens(limiter, now);
+  while (!limiter.queue.empty() && CanStart(limiter)) {
     const auto first = limiter.queue.begin();
     const uint64_t id = first->second.call.id;
     limiter.queued_keys.erase(id);
@@ -100,22 +143,37 @@
 absl::Duration ExpectedWait(const WorkerLimiter& limiter,
                             uint32_t priority,
                             bool nested) {
-  const uint32_t limit = ConcurrencyLimit(limiter);
-  if (limit == 0) {
+  if (ConcurrencyLimit(limiter) == 0) {
     return absl::InfiniteDuration();
   }
-  if (limiter.running.size() < limit) {
-    return absl::ZeroDuration();
-  }
   const size_t ahead = QueuedAhead(limiter, RankOf(priority, nested)) + 1;
-  return limiter.mean_time * (static_cast<double>(ahead) / limit);
+  return TimeToStart(limiter, static_cast<double>(ahead));
+}
+
+void SetMaxRate(WorkerLimiter& limiter, double max_rate, absl::Time now) {
+  if (limiter.max_rate == max_rate) {
+    return;
+  }
+  RefillRateTokens(limiter, now);
+  if (std::isinf(limiter.max_rate)) {
+    limiter.rate_tokens = 0;
+    limiter.rate_refilled_at = now;
+  }
+  limiter.max_rate = std::max(max_rate, kMinRate);
+}
+
+double RateUsed(const WorkerLimiter& limiter, absl::Time now) {
+  return std::isinf(limiter.max_rate)
+             ? 0
+             : 1 - RateTokens(limiter, now) / RateBurst(limiter);
 }
 
 SlotDecisions OnSlotRequest(WorkerLimiter& limiter,
                             const SlotRequest& call,
                             absl::Time now) {
   SlotDecisions out;
-  if (limiter.running.size() < ConcurrencyLimit(limiter)) {
+  RefillRateTokens(limiter, now);
+  if (limiter.queue.empty() && CanStart(limiter)) {
     StartCall(limiter, call.id, now, out);
     return out;
   }
@@ -132,12 +190,12 @@
   // rather than when that wait has passed.
   const auto last = std::prev(limiter.queue.end());
   const absl::Duration last_wait =
-      limiter.mean_time *
-      (static_cast<double>(limiter.queue.size()) / ConcurrencyLimit(limiter));
+      TimeToStart(limiter, static_cast<double>(limiter.queue.size()));
   if (last->second.call.id != call.id &&
       now + last_wait > last->second.refuse_at + allowed) {
     out.refuse.push_back(EvictLast(limiter));
   }
+  StartQueued(limiter, now, out);
   return out;
 }
 
--- a/src/boragepaddle/admission/worker_limiter.h
+++ b/src/boragepaddle/admission/worker_limiter.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 #include "absl/container/btree_map.h"
@@ -31,6 +32,9 @@
   /// Weight of a new sample in long_term_mean_time, by which other nodes
   /// compare workers.
   double long_term_mean_weight = 0.01;
+  /// With a rate limit: calls that may start at once, as time in which the rate
+  /// allows them.
+  absl::Duration rate_burst = absl::Milliseconds(250);
   /// mean_time before the first sample.
   absl::Duration initial_mean = absl::Milliseconds(50);
 };
@@ -53,7 +57,7 @@
   std::vector<uint64_t> refuse;
 };
 
-/// Concurrency limiter with a priority queue for one worker.
+/// Concurrency and rate limiter with a priority queue for one worker.
 struct WorkerLimiter {
   /// Orders nested calls first, then by priority, then by arrival.
   struct Key {
@@ -71,6 +75,11 @@
 
   WorkerLimiterSettings settings;
   uint32_t slots = 0;
+  /// Calls per second that the worker accepts; infinite if it names no limit.
+  double max_rate = std::numeric_limits<double>::infinity();
+  /// Calls that the rate limit allows now.
+  double rate_tokens = 0;
+  absl::Time rate_refilled_at = absl::InfinitePast();
   absl::btree_map<Key, Waiting> queue;
   absl::flat_hash_map<uint64_t, Key> queued_keys;
   /// Start time of each running call by id.
@@ -87,6 +96,12 @@
 /// Number of calls that may run at once.
 uint32_t ConcurrencyLimit(const WorkerLimiter& limiter);
 
+/// Sets the rate limit, in calls per second; infinity removes it.
+void SetMaxRate(WorkerLimiter& limiter, double max_rate, absl::Time now);
+
+/// Share of the rate limit in use, 0 to 1; 0 without a limit.
+double RateUsed(const WorkerLimiter& limiter, absl::Time now);
+
 /// Starts, queues or refuses a call.
 SlotDecisions OnSlotRequest(WorkerLimiter& limiter,
                             const SlotRequest& call,
--- a/src/boragepaddle/platform/wire_names.cc
+++ b/src/boragepaddle/platform/wire_names.cc
@@ -26,6 +26,7 @@
   // Service of the VM where the root request began, not of the direct caller.
   dialect.origin_service = "Caller-Service";
   dialect.not_run = "Not-Executed";
+  dialect.rate_limit = "Server-Limit";
   dialect.retry_after = "Retry-After";
   dialect.parent_id = ParentId;
   dialect.ready_path = "/boragepaddle/ready";
--- a/src/boragepaddle/proxy/dialect.h
+++ b/src/boragepaddle/proxy/dialect.h
@@ -24,6 +24,9 @@
   std::string origin_service;
   /// Response: the worker did not run the request.
   std::string not_run;
+  /// Response: requests per second, a decimal number, that the worker accepts
+  /// from all VMs together for as long as its responses have this field.
+  std::string rate_limit;
   /// Refusal: seconds until the client may retry.
   std::string retry_after;
   /// Returns the id of the parent request that a worker was running when it
--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -138,6 +138,7 @@
   message.repeatable = call.route->idempotent;
   message.repeat = call.worker_attempts > 0 || call.parent_is_retry;
   message.time_left_us = absl::ToInt64Microseconds(call.deadline - now);
+  message.rate_limit = routing::KnownRateLimit(this->loads, worker.instance);
   message.objective_us = absl::ToInt64Microseconds(
       call.route->latency_objective - (now - call.arrived));
   message.method = request.method;
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -1,9 +1,12 @@
 #include "boragepaddle/proxy/worker_proxy.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "boragepaddle/base/stable_hash.h"
@@ -22,6 +25,9 @@
 /// Statuses from this one on are failures of the worker.
 constexpr uint32_t kFirstFailureStatus = 500;
 
+/// Rates in messages are in thousandths.
+constexpr double kThousand = 1000;
+
 /// A call with less time left is not sent to the worker.
 constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(5);
 
@@ -107,6 +113,11 @@
     this->quarantine.settings.service = this->settings.service;
   }
   this->limiter.slots = worker == nullptr ? kDefaultSlots : worker->slots;
+  if (worker != nullptr && worker->instance != this->rate_limited_instance) {
+    this->rate_limited_instance = worker->instance;
+    this->has_answered = false;
+    this->SetRateLimit(0, event::BootNow());
+  }
   const bool is_unlisted =
       worker == nullptr && !this->store.workers.entries.empty();
   if (!is_unlisted && (worker == nullptr || !worker->draining)) {
@@ -154,6 +165,9 @@
     this->Refuse(id, refusal);
     return id;
   }
+  if (!this->has_answered && call.message.rate_limit > 0) {
+    this->SetRateLimit(call.message.rate_limit, now);
+  }
   this->admission_rate_input.arrivals += call.message.repeat ? 0 : 1;
   admission::SlotRequest slot_request;
   slot_request.id = id;
@@ -218,8 +232,41 @@
   return request;
 }
 
+void WorkerProxy::SetRateLimit(uint32_t rate_limit, absl::Time now) {
+  if (rate_limit == this->rate_limit) {
+    return;
+  }
+  this->rate_limit = rate_limit;
+  const double max_rate = rate_limit == 0
+                              ? std::numeric_limits<double>::infinity()
+                              : rate_limit / kThousand;
+  admission::SetMaxRate(this->limiter, max_rate, now);
+  this->log.LogState(telemetry::LogLine("worker", "rate_limit")
+                         .Add("instance", this->rate_limited_instance)
+                         .Add("per_s", max_rate));
+}
+
+void WorkerProxy::ApplyWorkerFields(const event::WorkerResult& result,
+                                    absl::Time now) {
+  const absl::string_view limit =
+      event::FieldValue(result.fields, this->dialect.rate_limit);
+  double per_second = 0;
+  if (absl::SimpleAtod(limit, &per_second) && std::isfinite(per_second) &&
+      per_second >= 0) {
+    this->SetRateLimit(
+        static_cast<uint32_t>(std::clamp(
+            per_second * kThousand, 1.0,
+            static_cast<double>(std::numeric_limits<uint32_t>::max()))),
+        now);
+  } else if (result.outcome == event::WorkerOutcome::kAnswered) {
+    this->SetRateLimit(0, now);
+  }
+  this->has_answered |= result.outcome == event::WorkerOutcome::kAnswered;
+}
+
 void WorkerProxy::OnResult(uint64_t id, event::WorkerResult result) {
   const absl::Time now = event::BootNow();
+  this->ApplyWorkerFields(result, now);
   const bool completed = result.outcome == event::WorkerOutcome::kAnswered;
   this->ApplyDecisions(
       admission::OnSlotReleased(this->limiter, id, completed, now), now);
@@ -451,6 +498,7 @@
       static_cast<uint32_t>(this->limiter.queue.size());
   this->admission_rate_input.limit = admission::ConcurrencyLimit(this->limiter);
   this->admission_rate_input.mean_time = this->limiter.mean_time;
+  this->admission_rate_input.max_rate = this->limiter.max_rate;
   admission::UpdateAdmissionRate(this->admission_rate,
                                  this->admission_rate_input, now);
   this->admission_rate_input = admission::AdmissionRateInput();
@@ -464,6 +512,9 @@
   load.grant = admission::AdmissionRatePermille(this->admission_rate);
   load.mean_us = static_cast<uint32_t>(
       absl::ToInt64Microseconds(this->limiter.long_term_mean_time));
+  load.rate_limit = this->rate_limit;
+  load.rate_used = static_cast<uint32_t>(
+      admission::RateUsed(this->limiter, event::BootNow()) * kThousand);
   return load;
 }
 
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -127,6 +127,9 @@
   void ApplyDecisions(const admission::SlotDecisions& actions, absl::Time now);
   void StartCall(uint64_t id, absl::Time now);
   void OnResult(uint64_t id, event::WorkerResult result);
+  /// Applies what the worker asks for in the fields of an answer.
+  void ApplyWorkerFields(const event::WorkerResult& result, absl::Time now);
+  void SetRateLimit(uint32_t rate_limit, absl::Time now);
   /// Updates what is known of crashes by the end of a call at the worker.
   void RecordCallEnd(uint64_t id, event::WorkerOutcome outcome, absl::Time now);
   void AttachUse(uint64_t id, schema::HttpAnswer& answer, absl::Time now);
@@ -147,6 +150,12 @@
   quarantine::CrashDetector crash_detector;
   absl::Time crashes_reported_at = absl::InfinitePast();
   admission::WorkerLimiter limiter;
+  /// Instance that the rate limit belongs to, and whether the worker has
+  /// answered this process.
+  std::string rate_limited_instance;
+  bool has_answered = false;
+  /// As in GateLoad.
+  uint32_t rate_limit = 0;
   admission::AdmissionRateController admission_rate;
   admission::AdmissionRateInput admission_rate_input;
   absl::flat_hash_map<uint64_t, Call> calls;
--- a/src/boragepaddle/routing/worker_choice.cc
+++ b/src/boragepaddle/routing/worker_choice.cc
@@ -11,6 +11,8 @@
 /// Assumed slots of a worker that lists none.
 constexpr uint32_t kDefaultSlots = 16;
 
+constexpr double kThousand = 1000;
+
 /// Maximum random load added to a worker, so that nodes with the same reports
 /// do not all choose the same one.
 constexpr double kMaxRandomLoad = 0.08;
@@ -23,13 +25,17 @@
 /// Load from other nodes according to the last report; decays with its age.
 double OthersLoad(const WorkerChoiceSettings& settings,
                   const WorkerLoad& load,
+                  double slots,
                   absl::Time now) {
   const absl::Duration age = now - load.reported_at;
   if (age >= settings.report_ttl) {
     return 0;
   }
   const double reported = load.reported.running + load.reported.queued;
-  const double others = std::max(0.0, reported - load.in_flight_at_report);
+  // A worker that has used up its rate limit is full although few calls run.
+  const double used_slots = slots * load.reported.rate_used / kThousand;
+  const double others =
+      std::max(used_slots, reported - load.in_flight_at_report);
   return others * (1 - absl::FDivDuration(age, settings.report_ttl));
 }
 
@@ -138,6 +144,11 @@
   }
 }
 
+uint32_t KnownRateLimit(const LoadTable& table, absl::string_view instance) {
+  const auto found = table.workers.find(instance);
+  return found == table.workers.end() ? 0 : found->second.reported.rate_limit;
+}
+
 absl::Duration MeanCallTime(const LoadTable& table,
                             const catalog::WorkerDirectory& directory,
                             absl::string_view service) {
@@ -164,7 +175,8 @@
   if (load == nullptr) {
     return 1 / usable_slots;
   }
-  const double busy = load->in_flight + OthersLoad(settings, *load, now) + 1;
+  const double busy =
+      load->in_flight + OthersLoad(settings, *load, usable_slots, now) + 1;
   return busy / usable_slots + load->failure_rate * settings.failure_penalty;
 }
 
--- a/src/boragepaddle/routing/worker_choice.h
+++ b/src/boragepaddle/routing/worker_choice.h
@@ -106,6 +106,10 @@
     const catalog::WorkerDirectory& directory,
     const WorkerQuery& query);
 
+/// Last rate limit that the worker's node reported, in calls per 1,000 seconds;
+/// 0 if none.
+uint32_t KnownRateLimit(const LoadTable& table, absl::string_view instance);
+
 /// Mean time of a call at the usable workers of the service; 0 if unknown.
 absl::Duration MeanCallTime(const LoadTable& table,
                             const catalog::WorkerDirectory& directory,
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -187,7 +187,8 @@
 
 bool operator==(const GateLoad& a, const GateLoad& b) {
   return a.running == b.running && a.queued == b.queued && a.limit == b.limit &&
-         a.grant == b.grant && a.mean_us == b.mean_us;
+         a.grant == b.grant && a.mean_us == b.mean_us &&
+         a.rate_limit == b.rate_limit && a.rate_used == b.rate_used;
 }
 
 bool operator!=(const GateLoad& a, const GateLoad& b) {
@@ -364,7 +365,7 @@
          a.nested == b.nested && a.time_left_us == b.time_left_us &&
          a.objective_us == b.objective_us && a.method == b.method &&
          a.target == b.target && a.fields == b.fields && a.body == b.body &&
-         a.wants_use == b.wants_use;
+         a.wants_use == b.wants_use && a.rate_limit == b.rate_limit;
 }
 
 bool operator!=(const HttpCall& a, const HttpCall& b) {
@@ -587,12 +588,14 @@
 }
 
 void Pack(Packer& packer, const GateLoad& value) {
-  packer.pack_array(5);
+  packer.pack_array(7);
   Pack(packer, value.running);
   Pack(packer, value.queued);
   Pack(packer, value.limit);
   Pack(packer, value.grant);
   Pack(packer, value.mean_us);
+  Pack(packer, value.rate_limit);
+  Pack(packer, value.rate_used);
 }
 
 bool Unpack(const msgpack::object& object, GateLoad* value) {
@@ -602,6 +605,8 @@
   reader.Next(&value->limit);
   reader.Next(&value->grant);
   reader.Next(&value->mean_us);
+  reader.Next(&value->rate_limit);
+  reader.Next(&value->rate_used);
   return reader.ok();
 }
 
@@ -923,7 +928,7 @@
 }
 
 void Pack(Packer& packer, const HttpCall& value) {
-  packer.pack_array(16);
+  packer.pack_array(17);
   Pack(packer, value.call_id);
   Pack(packer, value.request_id);
   Pack(packer, value.service);
@@ -940,6 +945,7 @@
   Pack(packer, value.fields);
   Pack(packer, value.body);
   Pack(packer, value.wants_use);
+  Pack(packer, value.rate_limit);
 }
 
 bool Unpack(const msgpack::object& object, HttpCall* value) {
@@ -960,6 +966,7 @@
   reader.Next(&value->fields);
   reader.Next(&value->body);
   reader.Next(&value->wants_use);
+  reader.Next(&value->rate_limit);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -193,6 +193,11 @@
   uint32_t grant = 0;
   /// Mean service time of a call at the worker, in microseconds; 0 if unknown.
   uint32_t mean_us = 0;
+  /// Calls per 1,000 seconds that the worker accepts from all nodes together; 0
+  /// if it names no limit.
+  uint32_t rate_limit = 0;
+  /// Share of the rate limit in use, in thousandths.
+  uint32_t rate_used = 0;
 };
 /// Compares all fields.
 bool operator==(const GateLoad& a, const GateLoad& b);
@@ -463,6 +468,9 @@
   std::string body;
   /// Requests the resource use in the answer.
   bool wants_use = false;
+  /// Last rate limit of the worker that the sender knows, as in GateLoad.
+  /// Serves a receiver that has just started.
+  uint32_t rate_limit = 0;
 };
 /// Compares all fields.
 bool operator==(const HttpCall& a, const HttpCall& b);
--- /dev/null
+++ b/tests/integration/worker_headers_test.py
@@ -0,0 +1,106 @@
+"""What workers ask for in the header fields of their answers, on the users' platform with real nodes."""
+
+import http.client
+import tempfile
+import threading
+import time
+import unittest
+
+from mesh.platform_fakes import FakeStore, FakeWorker, config
+from mesh.sidecar import Sidecar
+from mesh.wait import wait_until
+
+WORKERS = 3
+CLIENTS = 12
+# Times and allowances of the users' rule LIMIT.
+CONTACT_S = 3
+LIMIT_WINDOW_S = 4
+LIMIT_FACTOR = 1.5
+LIMIT_ALLOWANCE = 5
+LIMIT_PER_S = 12.5
+ROUTES = [{"name": "read", "authority": "a.example", "prefix": "/read/", "route_type": "idempotent", "timeout_s": 3,
+           "target_latency_s": 1, "priority": 1, "max_attempts": 2, "service": "s1"}]
+
+
+class TimedWorker(FakeWorker):
+    """Worker that records when requests arrive, and from which node."""
+
+    def __init__(self, *args, **options):
+        self.arrivals = []
+        super().__init__(*args, **options)
+
+    def work(self, handler, attempt):
+        self.arrivals.append((time.monotonic(), int(handler.path.rsplit("/", 1)[1]) % WORKERS))
+        return super().work(handler, attempt)
+
+
+class WorkerHeadersTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.store = FakeStore("127.0.0.1")
+        self.workers = [TimedWorker("127.0.4.%d" % (index + 1), "s1", "i-%d" % index, slots=40)
+                        for index in range(WORKERS)]
+        self.nodes = [Sidecar(index, self.folder.name, self.store.address, worker)
+                      for index, worker in enumerate(self.workers)]
+        for worker in self.workers:
+            self.store.put("servers/" + worker.instance, worker.entry())
+        self.store.put("op/config", config(1, ROUTES))
+        for node in self.nodes:
+            node.start()
+            self.addCleanup(lambda node=node: node.process.is_running() and node.kill())
+        for node in self.nodes:
+            wait_until(node.is_ready, 10, "readiness of " + node.name)
+        self.ended = threading.Event()
+        self.served = [0] * CLIENTS
+        self.clients = [threading.Thread(target=self.run_client, args=(index,)) for index in range(CLIENTS)]
+        for client in self.clients:
+            client.start()
+        self.addCleanup(self.stop_clients)
+        wait_until(lambda: all(worker.arrivals for worker in self.workers), 10, "requests at each worker")
+
+    def stop_clients(self):
+        self.ended.set()
+        for client in self.clients:
+            client.join()
+
+    def run_client(self, index):
+        node = index
+        while not self.ended.is_set():
+            node += 1
+            try:
+                status = self.nodes[node % WORKERS].call("/read/%d" % node)[0]
+            except (OSError, http.client.HTTPException):
+                status = 0
+            self.served[index] += status == 200
+
+    def check_limit(self, worker, begin):
+        arrivals = [at for at, _ in worker.arrivals if at > begin]
+        allowed = LIMIT_PER_S * LIMIT_WINDOW_S * LIMIT_FACTOR + LIMIT_ALLOWANCE
+        for first in arrivals:
+            count = sum(first <= at < first + LIMIT_WINDOW_S for at in arrivals)
+            self.assertLessEqual(count, allowed)
+
+    def test_a_worker_gets_no_more_than_it_names(self):
+        """Guards against more requests at a worker than its Server-Limit allows (rule LIMIT)."""
+        worker = self.workers[0]
+        worker.answer_fields = {"Server-Limit": str(LIMIT_PER_S)}
+        named_at = time.monotonic()
+        time.sleep(CONTACT_S + LIMIT_WINDOW_S + 1)
+        # The others were told and stay bound while the node beside the worker is replaced by a new process.
+        self.nodes[0].kill()
+        self.nodes[0].start()
+        time.sleep(LIMIT_WINDOW_S + 1)
+        self.check_limit(worker, named_at + CONTACT_S)
+        served = sum(self.served)
+        worker.answer_fields = {}
+        time.sleep(1)
+        before = len(worker.arrivals)
+        time.sleep(LIMIT_WINDOW_S)
+        # The worker no longer names a limit.
+        self.assertGreater(len(worker.arrivals) - before, 2 * LIMIT_PER_S * LIMIT_WINDOW_S)
+        self.assertGreater(sum(self.served), served)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/platform_path/worker_choice_test.cc
+++ b/tests/unit/platform_path/worker_choice_test.cc
@@ -137,6 +137,23 @@
   CHECK(fleet.Choose({}, true) != "1");
 }
 
+// Guards against calls to a worker that has few calls running because it limits
+// their rate, and against a worker that never gets a call again.
+TEST_CASE("A worker that has used up its rate limit is avoided for a moment") {
+  Fleet fleet;
+  schema::GateLoad used;
+  used.limit = 19;
+  used.mean_us = 20000;
+  used.rate_limit = 5000;
+  used.rate_used = 1000;
+  OnCallSent(fleet.table, "1");
+  OnCallEnded(fleet.table, "1", used, /*failed=*/false, At(10));
+  CHECK(fleet.Choose({}, true) != "1");
+  CHECK(KnownRateLimit(fleet.table, "1") == 5000);
+  fleet.table.workers["1"].reported_at = At(8.5);
+  CHECK(fleet.Choose({}, true) == "1");
+}
+
 TEST_CASE("Targets get requests in proportion to their weights") {
   const std::vector<catalog::RouteTarget> targets = {{"a", 90}, {"b", 10}};
   WeightedRoundRobin split;
--- a/tests/unit/platform_path/worker_gate_test.cc
+++ b/tests/unit/platform_path/worker_gate_test.cc
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <limits>
+#include <vector>
 
 namespace boragepaddle::admission {
 namespace {
@@ -91,5 +93,54 @@
   CHECK(OnSlotRequest(gate, MakeCall(1, 0), At(0)).refuse.size() == 1);
 }
 
+// Guards against more calls at a worker than the rate that it named (rule
+// LIMIT): at most 1.5 times that in any 4 s, and 5 calls more.
+TEST_CASE("A worker gets no more calls per second than it accepts") {
+  for (const double rate : {0.5, 9.4, 80.0}) {
+    CAPTURE(rate);
+    WorkerLimiter gate = MakeGate(40);
+    SetMaxRate(gate, rate, At(0));
+    std::vector<double> started_at;
+    std::vector<uint64_t> running;
+    uint64_t id = 0;
+    for (double now = 0; now < 20; now += 0.005) {
+      SlotDecisions decisions = OnSlotRequest(gate, MakeCall(++id, 0), At(now));
+      for (const uint64_t ended : running) {
+        const SlotDecisions more = OnSlotReleased(gate, ended, true, At(now));
+        decisions.start.insert(decisions.start.end(), more.start.begin(),
+                               more.start.end());
+      }
+      const SlotDecisions late = OnLimiterTick(gate, At(now));
+      decisions.start.insert(decisions.start.end(), late.start.begin(),
+                             late.start.end());
+      running = decisions.start;
+      started_at.insert(started_at.end(), running.size(), now);
+    }
+    for (const double from : started_at) {
+      const auto in_window =
+          std::count_if(started_at.begin(), started_at.end(),
+                        [&](double at) { return at >= from && at < from + 4; });
+      CHECK(static_cast<double>(in_window) <= 1.5 * rate * 4 + 5);
+    }
+    // The worker gets what it accepts.
+    CHECK(static_cast<double>(started_at.size()) >= 0.9 * rate * 20 - 1);
+  }
+}
+
+TEST_CASE("Without a rate limit calls start as slots allow") {
+  WorkerLimiter gate = MakeGate(40);
+  SetMaxRate(gate, 1, At(0));
+  CHECK(OnSlotRequest(gate, MakeCall(1, 0), At(0)).start.empty());
+  CHECK(RateUsed(gate, At(0)) == 1);
+  SetMaxRate(gate, std::numeric_limits<double>::infinity(), At(0.1));
+  CHECK(RateUsed(gate, At(0.1)) == 0);
+  size_t started = 0;
+  for (uint64_t id = 2; id < 30; ++id) {
+    started += OnSlotRequest(gate, MakeCall(id, 0), At(0.1)).start.size();
+  }
+  started += OnLimiterTick(gate, At(0.12)).start.size();
+  CHECK(started >= 28);
+}
+
 }  // namespace
 }  // namespace boragepaddle::admission
--- a/tools/mesh/platform_fakes.py
+++ b/tools/mesh/platform_fakes.py
@@ -186,6 +186,8 @@
         self.slots = slots
         self.lock = threading.Lock()
         self.runs = []
+        # Header fields of all answers.
+        self.answer_fields = {}
         worker = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -228,7 +230,7 @@
                               handler.headers["Caller-Service"], body))
         status = self.work(handler, attempt)
         self._send(handler, status, attempt, ("%s:%s" % (self.instance, attempt)).encode() + body,
-                   {})
+                   self.answer_fields)
 
     def work(self, handler, attempt):
         """Executes a request; returns its status."""
