Send nothing more to a worker whose answers say that it leaves

Each node that passes on such an answer marks the start of the worker as leaving in its list; the proxy beside the worker refuses calls and its queue. The mark outlives the removal and return of the entry, and ends with a later start under the same instance id.

--- a/src/boragepaddle/catalog/worker_directory.cc
+++ b/src/boragepaddle/catalog/worker_directory.cc
@@ -1,8 +1,11 @@
 #include "boragepaddle/catalog/worker_directory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "absl/time/clock.h"
+
 namespace boragepaddle::catalog {
 
 namespace {
@@ -22,8 +25,12 @@
 
 }  // namespace
 
+bool IsLeaving(const WorkerEntry& entry) {
+  return entry.draining || entry.leaving;
+}
+
 bool IsUsable(const WorkerEntry& entry) {
-  return !entry.draining && !entry.superseded;
+  return !IsLeaving(entry) && !entry.superseded;
 }
 
 void OnSourceFailure(WorkerDirectory& directory, absl::Time now) {
@@ -38,11 +45,35 @@
     return;
   }
   entry.seen_at = now;
+  const auto mark = directory.leaving.find(entry.instance);
+  entry.leaving = mark != directory.leaving.end() &&
+                  entry.started_ms <= mark->second.started_ms;
   MarkSuperseded(directory, entry);
   directory.entries[entry.instance] = std::move(entry);
   ++directory.generation;
 }
 
+bool MarkLeaving(WorkerDirectory& directory,
+                 absl::string_view instance,
+                 absl::Time now) {
+  const auto found = directory.entries.find(instance);
+  const bool is_listed = found != directory.entries.end();
+  if (is_listed ? found->second.leaving
+                : directory.leaving.contains(instance)) {
+    return false;
+  }
+  LeavingMark& mark = directory.leaving[std::string(instance)];
+  mark.marked_at = now;
+  // An unlisted process has started before now.
+  mark.started_ms =
+      is_listed ? found->second.started_ms : absl::ToUnixMillis(absl::Now());
+  if (is_listed) {
+    found->second.leaving = true;
+    ++directory.generation;
+  }
+  return true;
+}
+
 void ConfirmWorker(WorkerDirectory& directory, absl::string_view instance) {
   const auto found = directory.entries.find(instance);
   if (found != directory.entries.end()) {
@@ -62,8 +93,8 @@
   ++directory.generation;
   const absl::Time grace_end =
       directory.last_source_failure + directory.settings.reregistration_grace;
-  // A draining worker does not come back.
-  if (now >= grace_end || found->second.draining) {
+  // A leaving worker does not come back.
+  if (now >= grace_end || IsLeaving(found->second)) {
     directory.entries.erase(found);
     return;
   }
@@ -77,6 +108,13 @@
     entry = entry->second.remove_at <= now ? directory.entries.erase(entry)
                                            : std::next(entry);
   }
+  for (auto mark = directory.leaving.begin();
+       mark != directory.leaving.end();) {
+    const bool is_old =
+        !directory.entries.contains(mark->first) &&
+        now - mark->second.marked_at > directory.settings.leaving_retention;
+    mark = is_old ? directory.leaving.erase(mark) : std::next(mark);
+  }
   const bool changed = directory.entries.size() != before;
   directory.generation += changed ? 1 : 0;
   return changed;
--- a/src/boragepaddle/catalog/worker_directory.h
+++ b/src/boragepaddle/catalog/worker_directory.h
@@ -23,6 +23,8 @@
   bool draining = false;
   /// A worker that started later has the same address, so this one has ended.
   bool superseded = false;
+  /// The worker itself said that it is leaving.
+  bool leaving = false;
   /// Remaining warm-up time after the start, as of `seen_at`.
   absl::Duration warm_up_remaining;
   /// Start time of the worker, in milliseconds since the Unix epoch.
@@ -40,12 +42,24 @@
   /// Time after an outage within which live workers register again if their
   /// entries lapsed during it.
   absl::Duration reregistration_grace = absl::Seconds(2);
+  /// Time for which it is known that a worker that is not listed was leaving.
+  absl::Duration leaving_retention = absl::Minutes(10);
+};
+
+/// A worker that said that it is leaving.
+struct LeavingMark {
+  /// Start of the process that said so, in milliseconds since the Unix epoch.
+  int64_t started_ms = 0;
+  absl::Time marked_at;
 };
 
 /// Workers by instance id.
 struct WorkerDirectory {
   DirectorySettings settings;
   absl::btree_map<std::string, WorkerEntry> entries;
+  /// By instance id. Kept when an entry is removed, as it may be listed again
+  /// after an outage.
+  absl::btree_map<std::string, LeavingMark> leaving;
   /// Highest store revision applied.
   uint64_t revision = 0;
   /// Time of the last failed read of the source; removals shortly after it are
@@ -64,6 +78,15 @@
 /// Adds or replaces an entry.
 void PutWorker(WorkerDirectory& directory, WorkerEntry entry, absl::Time now);
 
+/// The worker said that it is leaving. True if that was unknown. A process that
+/// starts later under the same instance id is not affected.
+bool MarkLeaving(WorkerDirectory& directory,
+                 absl::string_view instance,
+                 absl::Time now);
+
+/// True if the worker gets no new calls because it leaves.
+bool IsLeaving(const WorkerEntry& entry);
+
 /// Cancels a pending removal, since the instance is still listed.
 void ConfirmWorker(WorkerDirectory& directory, absl::string_view instance);
 
--- a/src/boragepaddle/platform/wire_names.cc
+++ b/src/boragepaddle/platform/wire_names.cc
@@ -27,6 +27,7 @@
   dialect.origin_service = "Caller-Service";
   dialect.not_run = "Not-Executed";
   dialect.rate_limit = "Server-Limit";
+  dialect.leaving = "Server-Leaving";
   dialect.retry_after = "Retry-After";
   dialect.parent_id = ParentId;
   dialect.ready_path = "/boragepaddle/ready";
--- a/src/boragepaddle/proxy/dialect.h
+++ b/src/boragepaddle/proxy/dialect.h
@@ -27,6 +27,8 @@
   /// Response: requests per second, a decimal number, that the worker accepts
   /// from all VMs together for as long as its responses have this field.
   std::string rate_limit;
+  /// Response: the worker is leaving and must get no new requests.
+  std::string leaving;
   /// Refusal: seconds until the client may retry.
   std::string retry_after;
   /// Returns the id of the parent request that a worker was running when it
--- a/src/boragepaddle/proxy/request_router.h
+++ b/src/boragepaddle/proxy/request_router.h
@@ -58,7 +58,7 @@
   RequestRouter(boost::asio::io_context& loop,
                 const NodeSettings& settings,
                 const HttpDialect& dialect,
-                const StoreState& store,
+                StoreState& store,
                 WorkerProxy& local_worker,
                 PeerNetwork& peers,
                 telemetry::EventLog& log,
@@ -153,7 +153,7 @@
   const NodeSettings& settings;
   const RequestRouterSettings bounds;
   const HttpDialect& dialect;
-  const StoreState& store;
+  StoreState& store;
   WorkerProxy& local_worker;
   PeerNetwork& peers;
   telemetry::EventLog& log;
--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -176,6 +176,12 @@
     return;
   }
   RoutedCall& call = *this->calls.at(found->second);
+  if (event::HasField(answer.fields, this->dialect.leaving) &&
+      catalog::MarkLeaving(this->store.workers, call.instance,
+                           event::BootNow())) {
+    this->log.LogState(telemetry::LogLine("entry", "worker_leaving")
+                           .Add("instance", call.instance));
+  }
   routing::OnCallEnded(this->loads, call.instance, answer.load,
                        IsWorkerFailure(answer) && answer.offered,
                        event::BootNow());
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -80,7 +80,7 @@
 
 WorkerProxy::WorkerProxy(const NodeSettings& settings,
                          const HttpDialect& dialect,
-                         const StoreState& store,
+                         StoreState& store,
                          event::WorkerConnectionPool& pool,
                          telemetry::EventLog& log,
                          telemetry::RequestMetrics& metrics,
@@ -120,7 +120,7 @@
   }
   const bool is_unlisted =
       worker == nullptr && !this->store.workers.entries.empty();
-  if (!is_unlisted && (worker == nullptr || !worker->draining)) {
+  if (!is_unlisted && (worker == nullptr || !catalog::IsLeaving(*worker))) {
     return;
   }
   for (const uint64_t id : admission::RefuseQueued(this->limiter)) {
@@ -143,7 +143,7 @@
     return this->store.workers.entries.empty() ? Reason::kNone
                                                : Reason::kNoUpstream;
   }
-  if (worker->draining) {
+  if (catalog::IsLeaving(*worker)) {
     return Reason::kLeaving;
   }
   const bool is_same_instance = worker->instance == call.message.instance &&
@@ -246,7 +246,8 @@
                          .Add("per_s", max_rate));
 }
 
-void WorkerProxy::ApplyWorkerFields(const event::WorkerResult& result,
+void WorkerProxy::ApplyWorkerFields(const Call& call,
+                                    const event::WorkerResult& result,
                                     absl::Time now) {
   const absl::string_view limit =
       event::FieldValue(result.fields, this->dialect.rate_limit);
@@ -262,11 +263,20 @@
     this->SetRateLimit(0, now);
   }
   this->has_answered |= result.outcome == event::WorkerOutcome::kAnswered;
+  if (event::HasField(result.fields, this->dialect.leaving) &&
+      catalog::MarkLeaving(this->store.workers, call.message.instance, now)) {
+    this->log.LogState(telemetry::LogLine("worker", "leaving")
+                           .Add("instance", call.message.instance));
+    this->OnDirectoryChanged();
+  }
 }
 
 void WorkerProxy::OnResult(uint64_t id, event::WorkerResult result) {
   const absl::Time now = event::BootNow();
-  this->ApplyWorkerFields(result, now);
+  const auto found = this->calls.find(id);
+  if (found != this->calls.end()) {
+    this->ApplyWorkerFields(found->second, result, now);
+  }
   const bool completed = result.outcome == event::WorkerOutcome::kAnswered;
   this->ApplyDecisions(
       admission::OnSlotReleased(this->limiter, id, completed, now), now);
@@ -535,7 +545,9 @@
 schema::LoadNotice WorkerProxy::MakeLoadNotice() const {
   schema::LoadNotice notice;
   notice.service = this->settings.service;
-  notice.taking = !this->draining;
+  const catalog::WorkerEntry* worker = this->LocalWorker();
+  notice.taking =
+      !this->draining && (worker == nullptr || !catalog::IsLeaving(*worker));
   notice.load = this->CurrentLoad();
   return notice;
 }
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -46,7 +46,7 @@
 
   WorkerProxy(const NodeSettings& settings,
               const HttpDialect& dialect,
-              const StoreState& store,
+              StoreState& store,
               event::WorkerConnectionPool& pool,
               telemetry::EventLog& log,
               telemetry::RequestMetrics& metrics,
@@ -128,7 +128,9 @@
   void StartCall(uint64_t id, absl::Time now);
   void OnResult(uint64_t id, event::WorkerResult result);
   /// Applies what the worker asks for in the fields of an answer.
-  void ApplyWorkerFields(const event::WorkerResult& result, absl::Time now);
+  void ApplyWorkerFields(const Call& call,
+                         const event::WorkerResult& result,
+                         absl::Time now);
   void SetRateLimit(uint32_t rate_limit, absl::Time now);
   /// Updates what is known of crashes by the end of a call at the worker.
   void RecordCallEnd(uint64_t id, event::WorkerOutcome outcome, absl::Time now);
@@ -141,7 +143,7 @@
 
   const NodeSettings& settings;
   const HttpDialect& dialect;
-  const StoreState& store;
+  StoreState& store;
   event::WorkerConnectionPool& pool;
   telemetry::EventLog& log;
   telemetry::RequestMetrics& metrics;
--- a/tests/integration/worker_headers_test.py
+++ b/tests/integration/worker_headers_test.py
@@ -12,11 +12,12 @@
 
 WORKERS = 3
 CLIENTS = 12
-# Times and allowances of the users' rule LIMIT.
+# Times and allowances of the users' rules LIMIT and DRAIN.
 CONTACT_S = 3
 LIMIT_WINDOW_S = 4
 LIMIT_FACTOR = 1.5
 LIMIT_ALLOWANCE = 5
+DRAIN_S = 2
 LIMIT_PER_S = 12.5
 ROUTES = [{"name": "read", "authority": "a.example", "prefix": "/read/", "route_type": "idempotent", "timeout_s": 3,
            "target_latency_s": 1, "priority": 1, "max_attempts": 2, "service": "s1"}]
@@ -101,6 +102,22 @@
         self.assertGreater(len(worker.arrivals) - before, 2 * LIMIT_PER_S * LIMIT_WINDOW_S)
         self.assertGreater(sum(self.served), served)
 
+    def test_a_worker_that_says_it_leaves_gets_no_new_work(self):
+        """Guards against requests to a worker whose answers say that it leaves while it is still listed (rule DRAIN)."""
+        worker = self.workers[0]
+        worker.answer_fields = {"Server-Leaving": "1"}
+        named_at = time.monotonic()
+        time.sleep(DRAIN_S + 1)
+        # The others were told and stay bound while the node beside the worker is replaced by a new process.
+        self.nodes[0].kill()
+        restarted_at = time.monotonic()
+        self.nodes[0].start()
+        time.sleep(3)
+        late = [(at, node) for at, node in worker.arrivals if at > named_at + DRAIN_S]
+        # The new process was not told and may send until its first answer.
+        self.assertEqual([entry for entry in late if entry[1] != 0 or entry[0] < restarted_at], [])
+        self.assertEqual([at for at, _ in late if at > restarted_at + DRAIN_S], [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/platform_path/catalog_test.cc
+++ b/tests/unit/platform_path/catalog_test.cc
@@ -131,5 +131,32 @@
   CHECK(IsUsable(directory.entries.at("i-1")));
 }
 
+// Guards against new calls to a worker whose answers say that it leaves while
+// the list still names it (rule DRAIN).
+TEST_CASE("A worker that said that it leaves is not usable under that start") {
+  WorkerDirectory directory;
+  WorkerEntry entry = MakeEntry("i-1", 5);
+  entry.started_ms = 1000;
+  PutWorker(directory, entry, At(0));
+  CHECK(MarkLeaving(directory, "i-1", At(1)));
+  CHECK_FALSE(MarkLeaving(directory, "i-1", At(1)));
+  CHECK_FALSE(IsUsable(directory.entries.at("i-1")));
+  // A change of its entry, and an entry that is listed again after an outage.
+  entry.revision = 6;
+  PutWorker(directory, entry, At(2));
+  CHECK_FALSE(IsUsable(directory.entries.at("i-1")));
+  OnSourceFailure(directory, At(3));
+  RemoveWorker(directory, "i-1", 7, At(3));
+  CHECK(directory.entries.empty());
+  entry.revision = 8;
+  PutWorker(directory, entry, At(4));
+  CHECK_FALSE(IsUsable(directory.entries.at("i-1")));
+  // A later start under the same instance id.
+  entry.revision = 9;
+  entry.started_ms = 2000;
+  PutWorker(directory, entry, At(5));
+  CHECK(IsUsable(directory.entries.at("i-1")));
+}
+
 }  // namespace
 }  // namespace boragepaddle::catalog
