Read documents of the store with bounds on depth and numbers

Cause: the parsed document was copied, and the copy recurses once per level. Numbers that do not fit their type and ports out of range were taken, so such an entry named a worker. The class of fault: documents from outside without bounds.

Integers are checked against their range and addresses against the form IP:PORT. Looked for elsewhere: frames between nodes are of this project's own types and have no nested values.

--- a/src/boragepaddle/platform/documents.cc
+++ b/src/boragepaddle/platform/documents.cc
@@ -7,6 +7,8 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
+#include "boragepaddle/event/socket_options.h"
+#include "boragepaddle/platform/bounded_json.h"
 
 namespace boragepaddle::platform {
 
@@ -15,6 +17,12 @@
 using Json = nlohmann::json;
 using proxy::DocumentFault;
 
+/// Limit on counts, such as slots and weights.
+constexpr uint64_t kMaxCount = 1'000'000'000;
+
+/// Largest integer that a JSON number holds exactly.
+constexpr uint64_t kMaxInteger = uint64_t{1} << 53;
+
 /// Reads fields and keeps the first error, so that callers need to check for
 /// errors only once, at the end.
 struct Reader {
@@ -56,6 +64,25 @@
     return value->get<double>();
   }
 
+  /// A number that is used as an integer; fractions are cut off.
+  uint64_t Integer(const Json& object,
+                   const char* name,
+                   uint64_t fallback,
+                   uint64_t max) {
+    const double number =
+        this->Number(object, name, static_cast<double>(fallback));
+    if (number > static_cast<double>(max)) {
+      this->Fail(absl::StrCat(name, ": too large"));
+      return fallback;
+    }
+    return static_cast<uint64_t>(number);
+  }
+
+  uint32_t Integer32(const Json& object, const char* name, uint32_t fallback) {
+    return static_cast<uint32_t>(
+        this->Integer(object, name, fallback, kMaxCount));
+  }
+
   absl::Duration Seconds(const Json& object,
                          const char* name,
                          absl::Duration fallback) {
@@ -106,8 +133,7 @@
   }
   for (const Json& part : *split) {
     targets.push_back(
-        {reader.Text(part, "service"),
-         static_cast<uint32_t>(reader.Number(part, "weight", 1))});
+        {reader.Text(part, "service"), reader.Integer32(part, "weight", 1)});
   }
   return targets;
 }
@@ -124,11 +150,10 @@
   route.timeout = reader.Seconds(row, "timeout_s", absl::InfiniteDuration());
   route.latency_objective =
       reader.Seconds(row, "target_latency_s", absl::InfiniteDuration());
-  route.priority = static_cast<uint32_t>(reader.Number(row, "priority", 9));
+  route.priority = reader.Integer32(row, "priority", 9);
   // Number of distinct workers that one client attempt may reach, not the
   // number of times that it is sent to one worker.
-  route.max_workers =
-      static_cast<uint32_t>(reader.Number(row, "max_attempts", 1));
+  route.max_workers = reader.Integer32(row, "max_attempts", 1);
   route.targets = ReadTargets(reader, row);
   if (!absl::StartsWith(route.prefix, "/") ||
       !absl::EndsWith(route.prefix, "/")) {
@@ -144,11 +169,10 @@
   if (object == nullptr) {
     return limits;
   }
-  limits.max_header_bytes = static_cast<size_t>(
-      reader.Number(*object, "max_header_bytes",
-                    static_cast<double>(limits.max_header_bytes)));
-  limits.max_body_bytes = static_cast<uint64_t>(reader.Number(
-      *object, "max_body_bytes", static_cast<double>(limits.max_body_bytes)));
+  limits.max_header_bytes = reader.Integer(
+      *object, "max_header_bytes", limits.max_header_bytes, kMaxInteger);
+  limits.max_body_bytes = reader.Integer(*object, "max_body_bytes",
+                                         limits.max_body_bytes, kMaxInteger);
   limits.header_timeout =
       reader.Seconds(*object, "header_timeout_s", limits.header_timeout);
   limits.idle_timeout =
@@ -156,13 +180,6 @@
   return limits;
 }
 
-/// Parses the document. Returns null if it is not a JSON object.
-Json ParseObject(absl::string_view document) {
-  Json parsed = Json::parse(document.begin(), document.end(), nullptr,
-                            /*allow_exceptions=*/false);
-  return parsed.is_object() ? parsed : Json();
-}
-
 std::string HostOf(absl::string_view address) {
   return std::string(address.substr(0, address.rfind(':')));
 }
@@ -171,7 +188,7 @@
 
 base::Result<catalog::RouteCatalog, DocumentFault> DecodeCatalog(
     absl::string_view document) {
-  const Json parsed = ParseObject(document);
+  const Json parsed = ParseBoundedObject(document);
   if (parsed.is_null()) {
     return DocumentFault{"no JSON object"};
   }
@@ -182,9 +199,8 @@
     catalog.routes.push_back(ReadRoute(reader, row));
   }
   for (const Json& row : ReadTable(reader, parsed, "services")) {
-    catalog.services.push_back(
-        {reader.Text(row, "name"),
-         static_cast<uint32_t>(reader.Number(row, "max_connections", 0))});
+    catalog.services.push_back({reader.Text(row, "name"),
+                                reader.Integer32(row, "max_connections", 0)});
   }
   catalog.limits = ReadLimits(reader, parsed);
   if (!reader.error.empty()) {
@@ -197,7 +213,7 @@
 base::Result<catalog::WorkerEntry, DocumentFault> DecodeWorker(
     absl::string_view key,
     absl::string_view document) {
-  const Json parsed = ParseObject(document);
+  const Json parsed = ParseBoundedObject(document);
   if (parsed.is_null()) {
     return DocumentFault{"no JSON object"};
   }
@@ -209,17 +225,19 @@
   entry.address = reader.Text(parsed, "address");
   entry.host = HostOf(entry.address);
   entry.availability_zone = reader.Text(parsed, "zone");
-  entry.slots = static_cast<uint32_t>(reader.Number(parsed, "slots", 0));
+  entry.slots = reader.Integer32(parsed, "slots", 0);
   const std::string state = reader.Text(parsed, "state");
   entry.draining = state == "draining";
   entry.warm_up_remaining =
       reader.Seconds(parsed, "cold_remaining_s", absl::ZeroDuration());
-  entry.started_ms = static_cast<int64_t>(reader.Number(parsed, "born", 0));
+  entry.started_ms =
+      static_cast<int64_t>(reader.Integer(parsed, "born", 0, kMaxInteger));
   if (state != "ready" && state != "draining") {
     reader.Fail("state: neither ready nor draining");
   }
-  if (entry.instance.empty() || entry.host.empty() ||
-      entry.host == entry.address || entry.slots == 0) {
+  const auto endpoint = event::ParseEndpoint(entry.address);
+  if (entry.instance.empty() || !endpoint || endpoint->port() == 0 ||
+      entry.slots == 0) {
     reader.Fail("instance id, address or slots missing or invalid");
   }
   if (!reader.error.empty()) {
--- a/src/boragepaddle/platform/store_client.cc
+++ b/src/boragepaddle/platform/store_client.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
+#include "boragepaddle/platform/bounded_json.h"
 
 namespace boragepaddle::platform {
 
@@ -117,9 +118,8 @@
   if (status != kOk) {
     return SourceError{SourceErrorCode::kRefused, status};
   }
-  const Json document = Json::parse(body.begin(), body.end(), nullptr,
-                                    /*allow_exceptions=*/false);
-  if (!document.is_object()) {
+  const Json document = ParseBoundedObject(body);
+  if (document.is_null()) {
     return SourceError{SourceErrorCode::kMalformed, status};
   }
   SourcePage page;
--- a/tests/unit/platform_path/documents_test.cc
+++ b/tests/unit/platform_path/documents_test.cc
@@ -81,12 +81,40 @@
        {std::pair<const char*, const char*>{"\"ready\"", "\"resting\""},
         {"\"10.0.0.9:8080\"", "\"somewhere\""},
         {"125", "\"125\""},
+        {"125", "1e300"},
+        {"125", "99999999999"},
+        {"1700000000000", "1e300"},
+        {"1700000000000", "-1"},
+        {"1.5", "1e400"},
+        {"8080", "65536"},
+        {"8080", "0"},
+        {"8080", "-8080"},
+        {"10.0.0.9", "10.0.0.900"},
         {"\"s1\"", "7"}}) {
+    CAPTURE(std::string(to));
     CHECK_FALSE(
         DecodeWorker("servers/i-7", absl::StrReplaceAll(text, {{from, to}})));
   }
 }
 
+// Guards against entries of other writers that end every node: copies of a
+// nested value recurse until the stack is used up.
+TEST_CASE("Deeply nested documents are rejected") {
+  constexpr size_t kDepth = 400'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  CHECK_FALSE(DecodeWorker("servers/i-7",
+                           absl::StrReplaceAll(kEntry, {{"\"s1\"", nested}})));
+  CHECK_FALSE(DecodeCatalog(
+      absl::StrReplaceAll(kConfig, {{"\"idempotent\"", nested}})));
+  CHECK_FALSE(DecodePage(200, "{\"items\":" + nested + ",\"as_of\":9}"));
+  const std::string shallow = "[[[1]]]";
+  CHECK(DecodeWorker(
+      "servers/i-7",
+      absl::StrReplaceAll(kEntry,
+                          {{"\"zone\"", "\"new\":" + shallow + ",\"zone\""}})));
+}
+
 TEST_CASE("The settings file is decoded; unknown keys are ignored") {
   const auto settings = ParseBootSettings(kBoot);
   REQUIRE(settings);
