Send a request again only on a connection that has not carried it

The class of fault: an answer is matched by the id of the request, which several sendings share.

The pool now chooses a connection on which no request with this id was sent, or opens a new one, so each answer on a connection belongs to one sending. Connections remember the ids of at least the last 1,024 requests instead of forgetting all after 1,024. Looked for elsewhere: answers between nodes and resumed calls are matched by an id of their own for each sending, and answers of an earlier process go to its own connections only.

--- a/src/boragepaddle/event/worker_connection.cc
+++ b/src/boragepaddle/event/worker_connection.cc
@@ -24,8 +24,8 @@
 /// Limit on interim responses (1xx) to one request.
 constexpr uint32_t kMaxInterimResponses = 16;
 
-/// Limit on the remembered ids of previous requests.
-constexpr size_t kMaxPreviousRequestIds = 1024;
+/// At least this many ids of previous requests are remembered.
+constexpr size_t kMinRememberedRequestIds = 1024;
 
 /// Limit on skipped duplicate responses to previous requests.
 constexpr uint32_t kMaxSkippedResponses = 3;
@@ -205,8 +205,17 @@
   this->OnAnswer();
 }
 
-bool WorkerConnection::IsPreviousRequest(absl::string_view id) const {
-  return this->previous_request_ids.contains(id);
+bool WorkerConnection::HasSent(absl::string_view id) const {
+  return this->recent_request_ids.contains(id) ||
+         this->older_request_ids.contains(id);
+}
+
+void WorkerConnection::RememberRequest() {
+  if (this->recent_request_ids.size() >= kMinRememberedRequestIds) {
+    this->older_request_ids = std::move(this->recent_request_ids);
+    this->recent_request_ids.clear();
+  }
+  this->recent_request_ids.insert(this->request_id);
 }
 
 void WorkerConnection::OnAnswer() {
@@ -222,7 +231,7 @@
   const absl::string_view echoed_id =
       ToView(message[ToBeast(this->pool.names.request_id)]);
   const bool not_run = message.count(ToBeast(this->pool.names.not_run)) > 0;
-  if (echoed_id != this->request_id && this->IsPreviousRequest(echoed_id) &&
+  if (echoed_id != this->request_id && this->HasSent(echoed_id) &&
       this->skipped_responses < kMaxSkippedResponses) {
     // Duplicate response to a previous request; the expected one follows.
     ++this->skipped_responses;
@@ -257,10 +266,7 @@
   this->done = nullptr;
   this->pool.OnBufferedBytesChanged(this->buffered, 0);
   this->buffered = 0;
-  if (this->previous_request_ids.size() >= kMaxPreviousRequestIds) {
-    this->previous_request_ids.clear();
-  }
-  this->previous_request_ids.insert(this->request_id);
+  this->RememberRequest();
   if (reusable) {
     this->request.reset();
     this->parser.reset();
--- a/src/boragepaddle/event/worker_connection.h
+++ b/src/boragepaddle/event/worker_connection.h
@@ -38,6 +38,8 @@
   const Tcp::endpoint& worker() const { return this->endpoint; }
   /// Time at which the connection was established; infinite future before that.
   absl::Time connected_at() const { return this->opened_at; }
+  /// True if a request with the id was sent on the connection before.
+  bool HasSent(absl::string_view request_id) const;
   /// Time from which the idle connection must not be reused.
   absl::Time usable_until() const { return this->reuse_until; }
 
@@ -55,7 +57,7 @@
   void OnRead(const boost::system::error_code& error);
   void OnAnswer();
   void Finish(WorkerResult result, bool reusable);
-  bool IsPreviousRequest(absl::string_view request_id) const;
+  void RememberRequest();
 
   WorkerConnectionPool& pool;
   const Tcp::endpoint endpoint;
@@ -66,8 +68,10 @@
   WorkerConnectionPool::Done done;
   uint64_t call_id = 0;
   std::string request_id;
-  /// Ids of the requests that were sent on this connection before.
-  absl::flat_hash_set<std::string> previous_request_ids;
+  /// Ids of the last requests that were sent on this connection, and of those
+  /// before them.
+  absl::flat_hash_set<std::string> recent_request_ids;
+  absl::flat_hash_set<std::string> older_request_ids;
   absl::Time opened_at = absl::InfiniteFuture();
   bool connected = false;
   bool sending = false;
--- a/src/boragepaddle/event/worker_connection_pool.cc
+++ b/src/boragepaddle/event/worker_connection_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <iterator>
 #include <utility>
 
 #include "boragepaddle/event/worker_connection.h"
@@ -36,13 +37,19 @@
 void WorkerConnectionPool::Dispatch(uint64_t id,
                                     WorkerRequest request,
                                     Done done) {
+  // A late copy of the answer to an earlier sending of the same request could
+  // not be told from the answer to this one.
+  const auto usable = std::find_if(
+      this->idle.rbegin(), this->idle.rend(), [&](const auto& candidate) {
+        return !candidate->HasSent(request.request_id);
+      });
   std::shared_ptr<WorkerConnection> connection;
-  if (this->idle.empty()) {
+  if (usable == this->idle.rend()) {
     connection = std::make_shared<WorkerConnection>(*this, this->worker);
     ++this->opened_count;
   } else {
-    connection = this->idle.back();
-    this->idle.pop_back();
+    connection = *usable;
+    this->idle.erase(std::next(usable).base());
   }
   this->busy[id] = connection;
   connection->Run(id, std::move(request), std::move(done));
--- a/tests/unit/platform_path/scripted_worker.h
+++ b/tests/unit/platform_path/scripted_worker.h
@@ -2,8 +2,10 @@
 #define BORAGEPADDLE_TESTS_UNIT_PLATFORM_PATH_SCRIPTED_WORKER_H_
 
 #include <doctest/doctest.h>
+#include <poll.h>
 #include <unistd.h>
 
+#include <array>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
@@ -28,6 +30,9 @@
   boost::asio::io_context loop{1};
   Tcp::acceptor acceptor{loop, kLoopback};
   std::vector<std::string> scripts;
+  /// Written before the script of the same index if its connection was used
+  /// before; shorter lists are filled with nothing.
+  std::vector<std::string> copies;
   /// Written repeatedly after the last script until the pool closes the
   /// connection.
   std::string endless;
@@ -35,6 +40,8 @@
   /// Limit on the bytes of incomplete responses in the pool.
   uint64_t max_held = 64u << 20;
   int connections = 0;
+  /// All requests have the same id.
+  bool same_id = false;
 
   /// Sends `count` requests through a pool, one after the other.
   std::vector<WorkerResult> Run(size_t count) {
@@ -49,7 +56,8 @@
         return;
       }
       WorkerRequest request;
-      request.request_id = "r" + std::to_string(results.size());
+      request.request_id =
+          "r" + std::to_string(this->same_id ? 0 : results.size());
       request.method = "GET";
       request.target = "/";
       request.host = "h";
@@ -76,14 +84,30 @@
     }
   }
 
+  /// Waits for the next request; true if another connection was opened instead.
+  static bool IsNewConnectionFirst(Tcp::socket& socket,
+                                   Tcp::acceptor& listener) {
+    std::array<pollfd, 2> waits = {pollfd{socket.native_handle(), POLLIN, 0},
+                                   pollfd{listener.native_handle(), POLLIN, 0}};
+    poll(waits.data(), waits.size(), /*timeout=*/-1);
+    return waits[0].revents == 0;
+  }
+
   void Serve() {
     boost::asio::io_context own;
     Tcp::acceptor listener(own, Tcp::v4(), dup(this->acceptor.native_handle()));
     size_t script = 0;
+    // Connections that the pool has left open for another one.
+    std::vector<Tcp::socket> unused;
     while (script < this->scripts.size()) {
       Tcp::socket socket = listener.accept();
       ++this->connections;
+      bool is_reused = false;
       while (script < this->scripts.size()) {
+        if (IsNewConnectionFirst(socket, listener)) {
+          unused.push_back(std::move(socket));
+          break;
+        }
         char byte = 0;
         std::string head;
         boost::system::error_code error;
@@ -95,6 +119,11 @@
         if (error) {
           break;
         }
+        if (is_reused && script < this->copies.size()) {
+          boost::asio::write(socket, boost::asio::buffer(this->copies[script]),
+                             error);
+        }
+        is_reused = true;
         const std::string& text = this->scripts[script++];
         boost::asio::write(socket, boost::asio::buffer(text), error);
         this->WriteOn(socket, script);
--- a/tests/unit/platform_path/worker_trouble_test.cc
+++ b/tests/unit/platform_path/worker_trouble_test.cc
@@ -27,6 +27,25 @@
   CHECK(worker.connections == 2);
 }
 
+// Guards against a second run of a request: the copy of its earlier rejection
+// was taken as the answer to its next sending, which was running.
+TEST_CASE("A late copy of a rejection is no answer to the request sent again") {
+  const std::string rejection =
+      "HTTP/1.1 503 Busy\r\nId: r0\r\nNot-Run: 1\r\nContent-Length: "
+      "0\r\n\r\n";
+  ScriptedWorker worker;
+  worker.same_id = true;
+  // On the same connection the copy would precede the answer. The worker gets
+  // the second request on another connection, where nothing precedes it.
+  worker.scripts = {rejection,
+                    "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 0\r\n\r\n"};
+  worker.copies = {"", rejection};
+  const auto results = worker.Run(2);
+  CHECK(results[0].outcome == WorkerOutcome::kNotRun);
+  CHECK(results[1].outcome == WorkerOutcome::kAnswered);
+  CHECK(worker.connections == 2);
+}
+
 TEST_CASE("The connection is reused after a refusal with a request id") {
   ScriptedWorker worker;
   worker.scripts = {
