Reject answers of workers without a final status

The class of fault: a value from the wire that doubles as an internal sign.

Statuses below 200 make an answer invalid, and a call without a reply ends with an empty optional.

Test: unit 'A response without a final status is rejected' failed before.

--- a/src/boragepaddle/event/worker_connection.cc
+++ b/src/boragepaddle/event/worker_connection.cc
@@ -24,6 +24,9 @@
 /// Limit on interim responses (1xx) to one request.
 constexpr uint32_t kMaxInterimResponses = 16;
 
+/// Lower statuses are no final responses.
+constexpr unsigned kMinFinalStatus = 200;
+
 /// At least this many ids of previous requests are remembered.
 constexpr size_t kMinRememberedRequestIds = 1024;
 
@@ -240,7 +243,8 @@
   }
   const bool mismatched =
       echoed_id != this->request_id && !(echoed_id.empty() && not_run);
-  if (mismatched || message.count(http::field::content_encoding) > 0) {
+  if (mismatched || message.result_int() < kMinFinalStatus ||
+      message.count(http::field::content_encoding) > 0) {
     this->Finish(WorkerResult{WorkerOutcome::kInvalidResponse, 0, {}, {}},
                  /*reusable=*/false);
     return;
--- a/src/boragepaddle/proxy/request_router.h
+++ b/src/boragepaddle/proxy/request_router.h
@@ -10,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "boragepaddle/event/http_exchange.h"
 #include "boragepaddle/proxy/dialect.h"
 #include "boragepaddle/proxy/node_settings.h"
@@ -142,7 +143,10 @@
   bool IsRetryableFailure(const RoutedCall& call,
                           const schema::HttpAnswer& answer) const;
   void ReplyUnknown(RoutedCall& call, uint32_t status);
-  void Finish(RoutedCall& call, event::HttpReply reply, absl::string_view how);
+  /// Ends the call. Without a reply, the client has left.
+  void Finish(RoutedCall& call,
+              absl::optional<event::HttpReply> reply,
+              absl::string_view how);
   void RejectUnrouted(const std::shared_ptr<event::HttpExchange>& exchange,
                       uint32_t status,
                       absl::string_view why);
--- a/src/boragepaddle/proxy/request_router_replies.cc
+++ b/src/boragepaddle/proxy/request_router_replies.cc
@@ -46,7 +46,7 @@
   }
   RoutedCall& call = *found->second;
   this->CancelAttempt(call);
-  this->Finish(call, event::HttpReply{}, "client_left");
+  this->Finish(call, absl::nullopt, "client_left");
 }
 
 void RequestRouter::TimeOut(RoutedCall& call) {
@@ -129,10 +129,11 @@
 }
 
 void RequestRouter::Finish(RoutedCall& call,
-                           event::HttpReply reply,
+                           absl::optional<event::HttpReply> reply,
                            absl::string_view how) {
   const absl::Time now = event::BootNow();
-  const bool served = reply.status >= 200 && reply.status < 500;
+  const uint32_t status = reply ? reply->status : 0;
+  const bool served = status >= 200 && status < 500;
   this->metrics.Record({"entry", call.service, call.priority, how,
                         schema::ToString(call.last_reason),
                         now - call.arrived});
@@ -140,7 +141,7 @@
     telemetry::LogLine line("entry", "finished");
     line.Add("request", call.request_id)
         .Add("how", how)
-        .Add("status", reply.status)
+        .Add("status", status)
         .Add("reason", schema::ToString(call.last_reason))
         .Add("route", call.route->name)
         .Add("service", call.service)
@@ -172,13 +173,13 @@
     end.now = now;
     routing::OnRootRequestEnded(this->root_limiter, end);
   }
-  if (call.nested && (reply.status < 200 || reply.status >= 300)) {
+  if (call.nested && (status < 200 || status >= 300)) {
     this->local_worker.RecordNestedFailure(call.parent_id, call.refusal);
   }
   const auto exchange = call.exchange;
   this->calls.erase(call.id);
-  if (reply.status != 0) {
-    exchange->Reply(std::move(reply));
+  if (reply) {
+    exchange->Reply(std::move(*reply));
   }
 }
 
--- a/tests/unit/platform_path/http_test.cc
+++ b/tests/unit/platform_path/http_test.cc
@@ -174,6 +174,18 @@
   CHECK(results[1].body == "own");
 }
 
+// Guards against a client that never gets an answer: a status of 0 was taken
+// for a client that has left.
+TEST_CASE("A response without a final status is rejected") {
+  for (const char* status : {"000", "001", "099"}) {
+    ScriptedWorker worker;
+    worker.scripts = {std::string("HTTP/1.1 ") + status +
+                      " Odd\r\nId: r0\r\nContent-Length: 0\r\n\r\nclose"};
+    const auto results = worker.Run(1);
+    CHECK(results[0].outcome == WorkerOutcome::kInvalidResponse);
+  }
+}
+
 TEST_CASE("Truncated, mismatched and encoded responses are rejected") {
   const std::vector<std::pair<std::string, WorkerOutcome>> cases = {
       {"HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 9\r\n"
