Let clients and workers read as slowly as they want to

Cause: TCP_USER_TIMEOUT was set on their connections too. It also ends connections whose peer acknowledges everything and keeps its window closed. The class of fault: slowness taken for absence.

Bounds, each with its reason: connections of clients and workers, on the same VM, have keep-alive probes only, as a process that ends resets them; other nodes and the store always read, so TCP_USER_TIMEOUT stays there. A response is written in parts and given up after 30 s without progress instead of the idle timeout for the whole of it: longer than clients wait.

--- a/src/boragepaddle/event/http_get_client.cc
+++ b/src/boragepaddle/event/http_get_client.cc
@@ -62,7 +62,7 @@
                                    return;
                                  }
                                  self->connected = true;
-                                 SetTcpLivenessOptions(self->socket);
+                                 SetTcpPeerOptions(self->socket);
                                  self->Write();
                                });
   }
--- a/src/boragepaddle/event/peer_channel.cc
+++ b/src/boragepaddle/event/peer_channel.cc
@@ -60,7 +60,7 @@
 void PeerChannel::OnOpened() {
   this->opened = true;
   OnBytesReceived(this->liveness, BootNow());
-  SetTcpLivenessOptions(this->socket);
+  SetTcpPeerOptions(this->socket);
   this->events.on_open(this->shared_from_this());
   this->Read();
   if (!this->pending_writes.empty() && !this->writing) {
--- a/src/boragepaddle/event/server_connection.cc
+++ b/src/boragepaddle/event/server_connection.cc
@@ -23,6 +23,11 @@
 /// Longest time for which a connection lingers after the last response.
 constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
 
+/// Time without progress after which a client is taken not to read its response
+/// any more. Longer than clients wait for a response in all; large, since the
+/// socket reports progress only when a good part of its buffer is free.
+constexpr absl::Duration kWriteTimeout = absl::Seconds(30);
+
 absl::string_view ToView(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -257,17 +262,30 @@
     this->response->body() = std::move(reply.body);
     this->response->prepare_payload();
   }
+  this->serializer.emplace(*this->response);
+  this->WriteSome();
+}
+
+// Writes in parts, so that a client that reads slowly counts as active.
+void ServerConnection::WriteSome() {
   auto self = this->shared_from_this();
-  http::async_write(this->socket, *this->response,
-                    [self](const boost::system::error_code& error, size_t) {
-                      self->OnWritten(error);
-                    });
+  http::async_write_some(
+      this->socket, *this->serializer,
+      [self](const boost::system::error_code& error, size_t) {
+        if (error || self->closed || self->serializer->is_done()) {
+          self->OnWritten(error);
+          return;
+        }
+        self->last_progress = BootNow();
+        self->WriteSome();
+      });
 }
 
 void ServerConnection::OnWritten(const boost::system::error_code& error) {
   if (this->closed) {
     return;
   }
+  this->serializer.reset();
   this->response.reset();
   if (error) {
     this->Close();
@@ -353,11 +371,15 @@
       }
       break;
     case Phase::kReading:
-    case Phase::kWriting:
       if (now - this->last_progress > limits.idle_timeout) {
         this->Close();
       }
       break;
+    case Phase::kWriting:
+      if (now - this->last_progress > kWriteTimeout) {
+        this->Close();
+      }
+      break;
     case Phase::kAnswering:
       break;
     case Phase::kLingering:
--- a/src/boragepaddle/event/server_connection.h
+++ b/src/boragepaddle/event/server_connection.h
@@ -4,6 +4,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/optional/optional.hpp>
 #include <functional>
@@ -38,6 +39,9 @@
   using Response =
       boost::beast::http::response<boost::beast::http::string_body>;
 
+  using Serializer =
+      boost::beast::http::response_serializer<boost::beast::http::string_body>;
+
   enum class Phase { kIdle, kReading, kAnswering, kWriting, kLingering };
 
   void ReadHead();
@@ -48,6 +52,7 @@
   void WaitForClientClose(uint64_t exchange);
   void Answer(uint64_t exchange, HttpReply reply);
   void WriteReply(HttpReply reply, bool keep_alive);
+  void WriteSome();
   void OnWritten(const boost::system::error_code& error);
   void SendErrorResponse(uint32_t status);
   void OnClientDisconnect();
@@ -59,6 +64,7 @@
   boost::beast::flat_buffer buffer;
   boost::optional<Parser> parser;
   boost::optional<Response> response;
+  boost::optional<Serializer> serializer;
   Phase phase = Phase::kIdle;
   bool keep_alive = true;
   bool head_request = false;
@@ -69,6 +75,7 @@
   absl::Time idle_since;
   /// Time at which the first byte of an incomplete header was seen.
   absl::Time head_since = absl::InfiniteFuture();
+  /// Last time at which bytes of the request or response were transferred.
   absl::Time last_progress;
 };
 
--- a/src/boragepaddle/event/socket_options.cc
+++ b/src/boragepaddle/event/socket_options.cc
@@ -16,7 +16,8 @@
 constexpr int kKeepAliveSeconds = 1;
 /// Unanswered probes after which the kernel closes the connection.
 constexpr int kKeepAliveProbes = 2;
-/// Longest time for which sent data may stay unacknowledged.
+/// Longest time for which sent data may stay unacknowledged, or the peer's
+/// receive window closed.
 constexpr unsigned kUserTimeoutMs = 3000;
 
 void SetInt(int fd, int level, int option, int value) {
@@ -34,7 +35,11 @@
   SetInt(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds);
   SetInt(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds);
   SetInt(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetInt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+void SetTcpPeerOptions(Tcp::socket& socket) {
+  SetTcpLivenessOptions(socket);
+  SetInt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
 }
 
 boost::optional<Tcp::endpoint> ParseEndpoint(absl::string_view address) {
--- a/src/boragepaddle/event/socket_options.h
+++ b/src/boragepaddle/event/socket_options.h
@@ -11,10 +11,16 @@
 
 using Tcp = boost::asio::ip::tcp;
 
-/// Sets TCP_NODELAY, keep-alive probes and TCP_USER_TIMEOUT, so that an
-/// unresponsive peer is detected within about three seconds.
+/// Sets TCP_NODELAY and keep-alive probes, so that a peer that vanishes from an
+/// idle connection is detected within about three seconds. For clients and
+/// workers, which may read as slowly as they want to.
 void SetTcpLivenessOptions(Tcp::socket& socket);
 
+/// Also sets TCP_USER_TIMEOUT. For other nodes and the store, which always
+/// read: a peer that accepts no data for about three seconds is taken to be
+/// gone.
+void SetTcpPeerOptions(Tcp::socket& socket);
+
 /// Parses `IP:PORT`; empty if malformed.
 boost::optional<Tcp::endpoint> ParseEndpoint(absl::string_view address);
 
--- a/tests/unit/platform_path/http_test.cc
+++ b/tests/unit/platform_path/http_test.cc
@@ -24,6 +24,8 @@
   std::vector<HttpRequest> requests;
   int abandoned = 0;
   bool answer = true;
+  /// Size of the body of each reply; 0 to echo the request's.
+  size_t reply_bytes = 0;
   HttpServer server{loop,
                     [this](const std::shared_ptr<HttpExchange>& exchange) {
                       this->Handle(exchange);
@@ -45,7 +47,8 @@
     }
     HttpReply reply;
     reply.status = 200;
-    reply.body = exchange->request().body;
+    reply.body = this->reply_bytes > 0 ? std::string(this->reply_bytes, 'x')
+                                       : exchange->request().body;
     exchange->Reply(std::move(reply));
   }
 
@@ -141,6 +144,49 @@
 constexpr char kWhole[] =
     "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 2\r\n\r\nok";
 
+// Guards against answers that are cut off because their client does not read
+// for a while: the receive window was closed for longer than TCP_USER_TIMEOUT.
+TEST_CASE("A client that reads late or slowly gets its whole answer") {
+  constexpr size_t kBytes = 8u << 20;
+  EchoServer server;
+  server.reply_bytes = kBytes;
+  HttpServerLimits limits = server.server.limits();
+  limits.idle_timeout = absl::Seconds(2);
+  server.server.SetLimits(limits);
+  size_t received = 0;
+  std::thread client([&] {
+    boost::asio::io_context own;
+    Tcp::socket socket(own);
+    socket.open(Tcp::v4());
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    socket.connect(server.server.endpoint());
+    boost::asio::write(
+        socket,
+        boost::asio::buffer(std::string(
+            "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+    // Reads a part every 0.7 s at first: longer in all than the idle timeout.
+    std::vector<char> part(64 * 1024);
+    boost::system::error_code error;
+    for (int round = 0; !error; ++round) {
+      if (round < 8) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(700));
+      }
+      received += socket.read_some(boost::asio::buffer(part), error);
+    }
+  });
+  const auto work = boost::asio::make_work_guard(server.loop);
+  std::thread waiter([&] {
+    client.join();
+    server.loop.stop();
+  });
+  while (!server.loop.stopped()) {
+    server.loop.run_for(std::chrono::milliseconds(100));
+    server.server.Tick(BootNow());
+  }
+  waiter.join();
+  CHECK(received > kBytes);
+}
+
 TEST_CASE("The connection is reused after a complete response") {
   ScriptedWorker worker;
   worker.scripts = {kWhole,
