--- a/src/boragepaddle/proxy/store_replicator.cc
+++ b/src/boragepaddle/proxy/store_replicator.cc
@@ -148,25 +148,28 @@
   this->ApplyActions(feed::Advance(this->feed_state, this->random(), now));
   this->Fetch(now);
   this->ReportOutage(now);
+  this->ever_current |= feed::IsCurrent(this->feed_state, now);
   this->NotifyIfDue(now);
 }
 
 void StoreReplicator::NotifyIfDue(absl::Time now) {
-  if (!feed::IsNoticeDue(this->feed_state, now)) {
-    return;
+  if (feed::IsNoticeDue(this->feed_state, now)) {
+    this->NotifySubscribers(now);
   }
+}
+
+void StoreReplicator::LogCurrency(absl::Time now) {
   const bool current = feed::IsCurrent(this->feed_state, now);
-  this->ever_current |= current;
-  if (current != this->feed_state.notified_current) {
-    const schema::FeedStamp stamp = this->CurrentStamp(now);
-    this->log.LogState(
-        LogLine("feed", current ? "copy_current" : "copy_stale")
-            .Add("age_ms", stamp.age_us / kMicrosecondsPerMillisecond)
-            .Add("origin", stamp.origin)
-            .Add("reads", this->feed_state.reading)
-            .Add("revision", this->replica.revision));
+  if (current == this->feed_state.notified_current) {
+    return;
   }
-  this->NotifySubscribers(now);
+  const schema::FeedStamp stamp = this->CurrentStamp(now);
+  this->log.LogState(
+      LogLine("feed", current ? "copy_current" : "copy_stale")
+          .Add("age_ms", stamp.age_us / kMicrosecondsPerMillisecond)
+          .Add("origin", stamp.origin)
+          .Add("reads", this->feed_state.reading)
+          .Add("revision", this->replica.revision));
 }
 
 void StoreReplicator::OnProcessPause(absl::Time now) {
@@ -244,6 +247,7 @@
 }
 
 void StoreReplicator::NotifySubscribers(absl::Time now) {
+  this->LogCurrency(now);
   feed::OnNoticeSent(this->feed_state, now);
   const schema::FeedNotice notice{this->CurrentStamp(now)};
   for (const auto& [number, channel] : this->subscriber_channels) {
--- a/src/boragepaddle/proxy/store_replicator.h
+++ b/src/boragepaddle/proxy/store_replicator.h
@@ -81,6 +81,8 @@
   void NotifySubscribers(absl::Time now);
   /// Same, if the last notice no longer tells how current the copy is.
   void NotifyIfDue(absl::Time now);
+  /// Logs if the copy became stale or current since the last notice.
+  void LogCurrency(absl::Time now);
   schema::FeedStamp CurrentStamp(absl::Time now) const;
 
   const NodeSettings& settings;
