--- a/tests/unit/platform_path/documents_test.cc
+++ b/tests/unit/platform_path/documents_test.cc
@@ -91,7 +91,8 @@
         {"8080", "-8080"},
         {"10.0.0.9", "10.0.0.900"},
         {"\"s1\"", "7"}}) {
-    CAPTURE(std::string(to));
+    const std::string replacement = to;
+    CAPTURE(replacement);
     CHECK_FALSE(
         DecodeWorker("servers/i-7", absl::StrReplaceAll(text, {{from, to}})));
   }
--- a/tests/unit/platform_path/http_test.cc
+++ b/tests/unit/platform_path/http_test.cc
@@ -148,6 +148,7 @@
 // for a while: the receive window was closed for longer than TCP_USER_TIMEOUT.
 TEST_CASE("A client that reads late or slowly gets its whole answer") {
   constexpr size_t kBytes = 8u << 20;
+  constexpr size_t kPartBytes = 64u << 10;
   EchoServer server;
   server.reply_bytes = kBytes;
   HttpServerLimits limits = server.server.limits();
@@ -165,7 +166,7 @@
         boost::asio::buffer(std::string(
             "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
     // Reads a part every 0.7 s at first: longer in all than the idle timeout.
-    std::vector<char> part(64 * 1024);
+    std::vector<char> part(kPartBytes);
     boost::system::error_code error;
     for (int round = 0; !error; ++round) {
       if (round < 8) {
