--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -1,14 +1,10 @@
 #include "boragepaddle/proxy/worker_proxy.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <utility>
 
 #include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
 #include "boragepaddle/base/stable_hash.h"
 #include "boragepaddle/event/clock.h"
 
@@ -22,12 +18,6 @@
 /// Slots assumed for a worker that is not listed.
 constexpr uint32_t kDefaultSlots = 16;
 
-/// Statuses from this one on are failures of the worker.
-constexpr uint32_t kFirstFailureStatus = 500;
-
-/// Rates in messages are in thousandths.
-constexpr double kThousand = 1000;
-
 /// A call with less time left is not sent to the worker.
 constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(5);
 
@@ -36,10 +26,6 @@
 /// of many workers were refused.
 constexpr uint32_t kRejectedCrashes = 3;
 
-/// Interval at which reports of rejected requests are repeated. Shorter than
-/// the time after which a node that was cut off counts as reachable again.
-constexpr absl::Duration kCrashReportInterval = absl::Seconds(1);
-
 /// Equal for all attempts of a request, by any client and at any node.
 uint64_t Fingerprint(const schema::HttpCall& call) {
   return base::StableHash({call.method, call.target, call.body});
@@ -232,45 +218,6 @@
   return request;
 }
 
-void WorkerProxy::SetRateLimit(uint32_t rate_limit, absl::Time now) {
-  if (rate_limit == this->rate_limit) {
-    return;
-  }
-  this->rate_limit = rate_limit;
-  const double max_rate = rate_limit == 0
-                              ? std::numeric_limits<double>::infinity()
-                              : rate_limit / kThousand;
-  admission::SetMaxRate(this->limiter, max_rate, now);
-  this->log.LogState(telemetry::LogLine("worker", "rate_limit")
-                         .Add("instance", this->rate_limited_instance)
-                         .Add("per_s", max_rate));
-}
-
-void WorkerProxy::ApplyWorkerFields(const Call& call,
-                                    const event::WorkerResult& result,
-                                    absl::Time now) {
-  const absl::string_view limit =
-      event::FieldValue(result.fields, this->dialect.rate_limit);
-  double per_second = 0;
-  if (absl::SimpleAtod(limit, &per_second) && std::isfinite(per_second) &&
-      per_second >= 0) {
-    this->SetRateLimit(
-        static_cast<uint32_t>(std::clamp(
-            per_second * kThousand, 1.0,
-            static_cast<double>(std::numeric_limits<uint32_t>::max()))),
-        now);
-  } else if (result.outcome == event::WorkerOutcome::kAnswered) {
-    this->SetRateLimit(0, now);
-  }
-  this->has_answered |= result.outcome == event::WorkerOutcome::kAnswered;
-  if (event::HasField(result.fields, this->dialect.leaving) &&
-      catalog::MarkLeaving(this->store.workers, call.message.instance, now)) {
-    this->log.LogState(telemetry::LogLine("worker", "leaving")
-                           .Add("instance", call.message.instance));
-    this->OnDirectoryChanged();
-  }
-}
-
 void WorkerProxy::OnResult(uint64_t id, event::WorkerResult result) {
   const absl::Time now = event::BootNow();
   const auto found = this->calls.find(id);
@@ -296,56 +243,6 @@
   this->Finish(id, std::move(answer));
 }
 
-void WorkerProxy::RecordCallEnd(uint64_t id,
-                                event::WorkerOutcome outcome,
-                                absl::Time now) {
-  const auto found = this->calls.find(id);
-  if (found == this->calls.end()) {
-    return;
-  }
-  const uint64_t fingerprint = found->second.fingerprint;
-  if (outcome == event::WorkerOutcome::kConnectionLost) {
-    quarantine::OnBrokenCall(this->crash_detector, fingerprint, now);
-  } else if (outcome == event::WorkerOutcome::kAnswered) {
-    const auto cleared =
-        quarantine::OnCompleted(this->quarantine, fingerprint, now);
-    if (cleared) {
-      this->report_crashes({*cleared});
-    }
-  }
-}
-
-void WorkerProxy::TickCrashes(absl::Time now) {
-  if (quarantine::IsCrashCheckDue(this->crash_detector, now)) {
-    const bool is_open =
-        this->pool.HasConnectionFrom(this->crash_detector.broken_at);
-    const std::vector<uint64_t> broken =
-        quarantine::EndCrashCheck(this->crash_detector, is_open);
-    if (!broken.empty()) {
-      const uint64_t crash_id = base::StableHash(
-          {this->settings.vm_id, absl::StrCat(absl::ToUnixNanos(now))});
-      const auto reports = quarantine::OnWorkerCrash(
-          this->quarantine, broken, crash_id, /*peers=*/{}, now);
-      this->log.LogState(telemetry::LogLine("worker", "crashed")
-                             .Add("broken_calls", broken.size())
-                             .Add("suspects", reports.size()));
-      this->report_crashes(reports);
-    }
-  }
-  if (now - this->crashes_reported_at >= kCrashReportInterval) {
-    this->crashes_reported_at = now;
-    this->report_crashes(quarantine::OwnRejections(this->quarantine, now));
-  }
-}
-
-void WorkerProxy::OnCrashReport(const schema::CrashReport& report) {
-  quarantine::OnCrashReport(this->quarantine, report, event::BootNow());
-}
-
-std::vector<schema::CrashReport> WorkerProxy::CrashReports() const {
-  return quarantine::AllReports(this->quarantine, event::BootNow());
-}
-
 void WorkerProxy::AttachUse(uint64_t id,
                             schema::HttpAnswer& answer,
                             absl::Time now) {
@@ -446,37 +343,6 @@
   }
 }
 
-void WorkerProxy::LogAnswer(const Call& call,
-                            const schema::HttpAnswer& answer) {
-  const bool served = answer.outcome == Outcome::kCompleted &&
-                      answer.status < kFirstFailureStatus;
-  const absl::Time now = event::BootNow();
-  this->metrics.Record({"worker", call.message.service, call.message.priority,
-                        schema::ToString(answer.outcome),
-                        schema::ToString(answer.reason), now - call.arrived});
-  if (served && !this->log.ShouldLogServedRequest(now)) {
-    return;
-  }
-  telemetry::LogLine line("worker", served ? "served" : "ended");
-  line.Add("request", call.message.request_id)
-      .Add("outcome", schema::ToString(answer.outcome))
-      .Add("reason", schema::ToString(answer.reason))
-      .Add("status", answer.status)
-      .Add("instance", call.message.instance)
-      .Add("priority", call.message.priority)
-      .Add("nested", call.message.nested)
-      .Add("ms", absl::ToInt64Milliseconds(now - call.arrived))
-      .Add("running", answer.load.running)
-      .Add("queued", answer.load.queued)
-      .Add("limit", answer.load.limit)
-      .Add("refused_by", answer.refused_service);
-  if (served) {
-    this->log.LogServedRequest(line);
-    return;
-  }
-  this->log.LogFailedRequest(line, now);
-}
-
 void WorkerProxy::Cancel(uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) {
@@ -514,42 +380,4 @@
   this->admission_rate_input = admission::AdmissionRateInput();
 }
 
-schema::GateLoad WorkerProxy::CurrentLoad() const {
-  schema::GateLoad load;
-  load.running = static_cast<uint32_t>(this->limiter.running.size());
-  load.queued = static_cast<uint32_t>(this->limiter.queue.size());
-  load.limit = admission::ConcurrencyLimit(this->limiter);
-  load.grant = admission::AdmissionRatePermille(this->admission_rate);
-  load.mean_us = static_cast<uint32_t>(
-      absl::ToInt64Microseconds(this->limiter.long_term_mean_time));
-  load.rate_limit = this->rate_limit;
-  load.rate_used = static_cast<uint32_t>(
-      admission::RateUsed(this->limiter, event::BootNow()) * kThousand);
-  return load;
-}
-
-void WorkerProxy::LogLoad() {
-  const schema::GateLoad load = this->CurrentLoad();
-  this->log.LogState(
-      telemetry::LogLine("worker", "grant")
-          .Add("grant", load.grant)
-          .Add("load", absl::StrFormat("%.2f", this->admission_rate.load))
-          .Add("rejected",
-               absl::StrFormat("%.2f", this->admission_rate.rejected_share))
-          .Add("running", load.running)
-          .Add("queued", load.queued)
-          .Add("limit", load.limit)
-          .Add("mean_ms", absl::ToInt64Milliseconds(this->limiter.mean_time)));
-}
-
-schema::LoadNotice WorkerProxy::MakeLoadNotice() const {
-  schema::LoadNotice notice;
-  notice.service = this->settings.service;
-  const catalog::WorkerEntry* worker = this->LocalWorker();
-  notice.taking =
-      !this->draining && (worker == nullptr || !catalog::IsLeaving(*worker));
-  notice.load = this->CurrentLoad();
-  return notice;
-}
-
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -27,6 +27,9 @@
 
 namespace boragepaddle::proxy {
 
+/// Rates and shares in messages are in thousandths.
+inline constexpr double kRateUnit = 1000;
+
 /// Properties that nested calls inherit from a running request.
 struct ParentCall {
   uint32_t priority = 0;
--- /dev/null
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -0,0 +1,115 @@
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <string>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "boragepaddle/base/stable_hash.h"
+#include "boragepaddle/event/clock.h"
+#include "boragepaddle/proxy/worker_proxy.h"
+
+// What the proxy learns of its worker from the ends of calls: crashes, a rate
+// limit, and that the worker leaves.
+
+namespace boragepaddle::proxy {
+
+namespace {
+
+/// Interval at which reports of rejected requests are repeated. Shorter than
+/// the time after which a node that was cut off counts as reachable again.
+constexpr absl::Duration kCrashReportInterval = absl::Seconds(1);
+
+}  // namespace
+
+void WorkerProxy::SetRateLimit(uint32_t rate_limit, absl::Time now) {
+  if (rate_limit == this->rate_limit) {
+    return;
+  }
+  this->rate_limit = rate_limit;
+  const double max_rate = rate_limit == 0
+                              ? std::numeric_limits<double>::infinity()
+                              : rate_limit / kRateUnit;
+  admission::SetMaxRate(this->limiter, max_rate, now);
+  this->log.LogState(telemetry::LogLine("worker", "rate_limit")
+                         .Add("instance", this->rate_limited_instance)
+                         .Add("per_s", max_rate));
+}
+
+void WorkerProxy::ApplyWorkerFields(const Call& call,
+                                    const event::WorkerResult& result,
+                                    absl::Time now) {
+  const absl::string_view limit =
+      event::FieldValue(result.fields, this->dialect.rate_limit);
+  double per_second = 0;
+  if (absl::SimpleAtod(limit, &per_second) && std::isfinite(per_second) &&
+      per_second >= 0) {
+    this->SetRateLimit(
+        static_cast<uint32_t>(std::clamp(
+            per_second * kRateUnit, 1.0,
+            static_cast<double>(std::numeric_limits<uint32_t>::max()))),
+        now);
+  } else if (result.outcome == event::WorkerOutcome::kAnswered) {
+    this->SetRateLimit(0, now);
+  }
+  this->has_answered |= result.outcome == event::WorkerOutcome::kAnswered;
+  if (event::HasField(result.fields, this->dialect.leaving) &&
+      catalog::MarkLeaving(this->store.workers, call.message.instance, now)) {
+    this->log.LogState(telemetry::LogLine("worker", "leaving")
+                           .Add("instance", call.message.instance));
+    this->OnDirectoryChanged();
+  }
+}
+
+void WorkerProxy::RecordCallEnd(uint64_t id,
+                                event::WorkerOutcome outcome,
+                                absl::Time now) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  const uint64_t fingerprint = found->second.fingerprint;
+  if (outcome == event::WorkerOutcome::kConnectionLost) {
+    quarantine::OnBrokenCall(this->crash_detector, fingerprint, now);
+  } else if (outcome == event::WorkerOutcome::kAnswered) {
+    const auto cleared =
+        quarantine::OnCompleted(this->quarantine, fingerprint, now);
+    if (cleared) {
+      this->report_crashes({*cleared});
+    }
+  }
+}
+
+void WorkerProxy::TickCrashes(absl::Time now) {
+  if (quarantine::IsCrashCheckDue(this->crash_detector, now)) {
+    const bool is_open =
+        this->pool.HasConnectionFrom(this->crash_detector.broken_at);
+    const std::vector<uint64_t> broken =
+        quarantine::EndCrashCheck(this->crash_detector, is_open);
+    if (!broken.empty()) {
+      const uint64_t crash_id = base::StableHash(
+          {this->settings.vm_id, absl::StrCat(absl::ToUnixNanos(now))});
+      const auto reports = quarantine::OnWorkerCrash(
+          this->quarantine, broken, crash_id, /*peers=*/{}, now);
+      this->log.LogState(telemetry::LogLine("worker", "crashed")
+                             .Add("broken_calls", broken.size())
+                             .Add("suspects", reports.size()));
+      this->report_crashes(reports);
+    }
+  }
+  if (now - this->crashes_reported_at >= kCrashReportInterval) {
+    this->crashes_reported_at = now;
+    this->report_crashes(quarantine::OwnRejections(this->quarantine, now));
+  }
+}
+
+void WorkerProxy::OnCrashReport(const schema::CrashReport& report) {
+  quarantine::OnCrashReport(this->quarantine, report, event::BootNow());
+}
+
+std::vector<schema::CrashReport> WorkerProxy::CrashReports() const {
+  return quarantine::AllReports(this->quarantine, event::BootNow());
+}
+
+}  // namespace boragepaddle::proxy
--- /dev/null
+++ b/src/boragepaddle/proxy/worker_proxy_reports.cc
@@ -0,0 +1,87 @@
+#include "absl/strings/str_format.h"
+#include "boragepaddle/event/clock.h"
+#include "boragepaddle/proxy/worker_proxy.h"
+
+// What the proxy reports: log lines, and the load of its worker.
+
+namespace boragepaddle::proxy {
+
+namespace {
+
+using schema::Outcome;
+
+/// Statuses from this one on are failures of the worker.
+constexpr uint32_t kFirstFailureStatus = 500;
+
+}  // namespace
+
+void WorkerProxy::LogAnswer(const Call& call,
+                            const schema::HttpAnswer& answer) {
+  const bool served = answer.outcome == Outcome::kCompleted &&
+                      answer.status < kFirstFailureStatus;
+  const absl::Time now = event::BootNow();
+  this->metrics.Record({"worker", call.message.service, call.message.priority,
+                        schema::ToString(answer.outcome),
+                        schema::ToString(answer.reason), now - call.arrived});
+  if (served && !this->log.ShouldLogServedRequest(now)) {
+    return;
+  }
+  telemetry::LogLine line("worker", served ? "served" : "ended");
+  line.Add("request", call.message.request_id)
+      .Add("outcome", schema::ToString(answer.outcome))
+      .Add("reason", schema::ToString(answer.reason))
+      .Add("status", answer.status)
+      .Add("instance", call.message.instance)
+      .Add("priority", call.message.priority)
+      .Add("nested", call.message.nested)
+      .Add("ms", absl::ToInt64Milliseconds(now - call.arrived))
+      .Add("running", answer.load.running)
+      .Add("queued", answer.load.queued)
+      .Add("limit", answer.load.limit)
+      .Add("refused_by", answer.refused_service);
+  if (served) {
+    this->log.LogServedRequest(line);
+    return;
+  }
+  this->log.LogFailedRequest(line, now);
+}
+
+schema::GateLoad WorkerProxy::CurrentLoad() const {
+  schema::GateLoad load;
+  load.running = static_cast<uint32_t>(this->limiter.running.size());
+  load.queued = static_cast<uint32_t>(this->limiter.queue.size());
+  load.limit = admission::ConcurrencyLimit(this->limiter);
+  load.grant = admission::AdmissionRatePermille(this->admission_rate);
+  load.mean_us = static_cast<uint32_t>(
+      absl::ToInt64Microseconds(this->limiter.long_term_mean_time));
+  load.rate_limit = this->rate_limit;
+  load.rate_used = static_cast<uint32_t>(
+      admission::RateUsed(this->limiter, event::BootNow()) * kRateUnit);
+  return load;
+}
+
+void WorkerProxy::LogLoad() {
+  const schema::GateLoad load = this->CurrentLoad();
+  this->log.LogState(
+      telemetry::LogLine("worker", "grant")
+          .Add("grant", load.grant)
+          .Add("load", absl::StrFormat("%.2f", this->admission_rate.load))
+          .Add("rejected",
+               absl::StrFormat("%.2f", this->admission_rate.rejected_share))
+          .Add("running", load.running)
+          .Add("queued", load.queued)
+          .Add("limit", load.limit)
+          .Add("mean_ms", absl::ToInt64Milliseconds(this->limiter.mean_time)));
+}
+
+schema::LoadNotice WorkerProxy::MakeLoadNotice() const {
+  schema::LoadNotice notice;
+  notice.service = this->settings.service;
+  const catalog::WorkerEntry* worker = this->LocalWorker();
+  notice.taking =
+      !this->draining && (worker == nullptr || !catalog::IsLeaving(*worker));
+  notice.load = this->CurrentLoad();
+  return notice;
+}
+
+}  // namespace boragepaddle::proxy
--- a/src/boragepaddle/quarantine/quarantine.cc
+++ b/src/boragepaddle/quarantine/quarantine.cc
@@ -59,6 +59,20 @@
   return report;
 }
 
+/// Reports of the suspects that are not expired and match.
+template <typename Matches>
+std::vector<CrashReport> ReportsIf(const QuarantineState& state,
+                                   absl::Time now,
+                                   Matches matches) {
+  std::vector<CrashReport> reports;
+  for (const auto& [fingerprint, suspect] : state.suspects) {
+    if (suspect.expiry > now && matches(suspect)) {
+      reports.push_back(MakeReport(state, fingerprint, suspect, now));
+    }
+  }
+  return reports;
+}
+
 /// Evicts one entry if the table is full. Suspects are evicted
 /// before rejected requests; within each group, the earliest expiry goes first.
 void EvictIfFull(QuarantineState& state) {
@@ -212,25 +226,14 @@
 
 std::vector<CrashReport> AllReports(const QuarantineState& state,
                                     absl::Time now) {
-  std::vector<CrashReport> reports;
-  for (const auto& [fingerprint, suspect] : state.suspects) {
-    if (suspect.expiry > now) {
-      reports.push_back(MakeReport(state, fingerprint, suspect, now));
-    }
-  }
-  return reports;
+  return ReportsIf(state, now, [](const Suspect& /*suspect*/) { return true; });
 }
 
 std::vector<CrashReport> OwnRejections(const QuarantineState& state,
                                        absl::Time now) {
-  std::vector<CrashReport> reports;
-  for (const auto& [fingerprint, suspect] : state.suspects) {
-    if (suspect.expiry > now && IsRejected(state, suspect) &&
-        suspect.runner == state.settings.vm_id) {
-      reports.push_back(MakeReport(state, fingerprint, suspect, now));
-    }
-  }
-  return reports;
+  return ReportsIf(state, now, [&state](const Suspect& suspect) {
+    return IsRejected(state, suspect) && suspect.runner == state.settings.vm_id;
+  });
 }
 
 QuarantineDecision DecideAdmission(const QuarantineState& state,
--- a/tests/integration/crash_on_platform_test.py
+++ b/tests/integration/crash_on_platform_test.py
@@ -6,8 +6,8 @@
 import time
 import unittest
 
-from mesh.platform_fakes import FakeStore, FakeWorker, config
-from mesh.sidecar import Sidecar
+from mesh.platform_fakes import FakeStore, FakeWorker
+from mesh.sidecar import start_fleet
 from mesh.wait import wait_until
 
 WORKERS = 4
@@ -46,16 +46,7 @@
         self.addCleanup(self.folder.cleanup)
         self.store = FakeStore("127.0.0.1")
         self.workers = [CrashingWorker("127.0.3.%d" % (index + 1), "s1", "i-%d" % index) for index in range(WORKERS)]
-        self.nodes = [Sidecar(index, self.folder.name, self.store.address, worker)
-                      for index, worker in enumerate(self.workers)]
-        for worker in self.workers:
-            self.store.put("servers/" + worker.instance, worker.entry())
-        self.store.put("op/config", config(1, ROUTES))
-        for node in self.nodes:
-            node.start()
-            self.addCleanup(lambda node=node: node.process.is_running() and node.kill())
-        for node in self.nodes:
-            wait_until(node.is_ready, 10, "readiness of " + node.name)
+        self.nodes = start_fleet(self, self.folder.name, self.store, self.workers, ROUTES)
         self.ended = threading.Event()
 
     def send(self, index, path):
--- a/tests/integration/fleet_restart_test.py
+++ b/tests/integration/fleet_restart_test.py
@@ -8,8 +8,8 @@
 import unittest
 import uuid
 
-from mesh.platform_fakes import FakeStore, FakeWorker, config
-from mesh.sidecar import Sidecar
+from mesh.platform_fakes import FakeStore, FakeWorker
+from mesh.sidecar import start_fleet
 from mesh.wait import wait_until
 
 OUTER_SLOTS = 400
@@ -63,16 +63,7 @@
                                       work_s=OUTER_WORK_S, slots=OUTER_SLOTS) for index in range(3)]
         self.inner = FakeWorker("127.0.2.4", "s2", "i-3", work_s=INNER_WORK_S, slots=INNER_SLOTS)
         self.workers.append(self.inner)
-        self.nodes = [Sidecar(index, self.folder.name, self.store.address, worker)
-                      for index, worker in enumerate(self.workers)]
-        for worker in self.workers:
-            self.store.put("servers/" + worker.instance, worker.entry())
-        self.store.put("op/config", config(1, ROUTES))
-        for node in self.nodes:
-            node.start()
-            self.addCleanup(lambda node=node: node.process.is_running() and node.kill())
-        for node in self.nodes:
-            wait_until(node.is_ready, 10, "readiness of " + node.name)
+        self.nodes = start_fleet(self, self.folder.name, self.store, self.workers, ROUTES)
         self.lock = threading.Lock()
         # (time of arrival, attempt id, status) of each request.
         self.results = []
--- a/tools/mesh/sidecar.py
+++ b/tools/mesh/sidecar.py
@@ -5,7 +5,9 @@
 import signal
 import uuid
 
+from mesh.platform_fakes import config
 from mesh.process import Process
+from mesh.wait import wait_until
 
 PEER_PORT = 17620
 
@@ -58,3 +60,17 @@
     def kill(self, with_signal=signal.SIGKILL):
         self.process.popen.send_signal(with_signal)
         self.process.popen.wait(10)
+
+
+def start_fleet(test, folder, store, workers, routes):
+    """Lists the workers, starts a node beside each and waits until all are ready; the test kills them at its end."""
+    nodes = [Sidecar(index, folder, store.address, worker) for index, worker in enumerate(workers)]
+    for worker in workers:
+        store.put("servers/" + worker.instance, worker.entry())
+    store.put("op/config", config(1, routes))
+    for node in nodes:
+        node.start()
+        test.addCleanup(lambda node=node: node.process.is_running() and node.kill())
+    for node in nodes:
+        wait_until(node.is_ready, 10, "readiness of " + node.name)
+    return nodes
