Pass the time of day to the worker directory; look up an ended call once

The directory read the wall clock itself, so its decision on unlisted workers was not deterministic and had no test; it has one now. OnResult looked up the same call twice. No behaviour changes. Unit tests, worker_headers_test and crash_on_platform_test pass.

--- a/src/boragepaddle/catalog/worker_directory.cc
+++ b/src/boragepaddle/catalog/worker_directory.cc
@@ -4,8 +4,6 @@
 #include <iterator>
 #include <utility>
 
-#include "absl/time/clock.h"
-
 namespace boragepaddle::catalog {
 
 namespace {
@@ -55,7 +53,8 @@
 
 bool MarkLeaving(WorkerDirectory& directory,
                  absl::string_view instance,
-                 absl::Time now) {
+                 absl::Time now,
+                 absl::Time wall_now) {
   const auto found = directory.entries.find(instance);
   const bool is_listed = found != directory.entries.end();
   if (is_listed ? found->second.leaving
@@ -64,9 +63,8 @@
   }
   LeavingMark& mark = directory.leaving[std::string(instance)];
   mark.marked_at = now;
-  // An unlisted process has started before now.
   mark.started_ms =
-      is_listed ? found->second.started_ms : absl::ToUnixMillis(absl::Now());
+      is_listed ? found->second.started_ms : absl::ToUnixMillis(wall_now);
   if (is_listed) {
     found->second.leaving = true;
     ++directory.generation;
--- a/src/boragepaddle/catalog/worker_directory.h
+++ b/src/boragepaddle/catalog/worker_directory.h
@@ -79,10 +79,12 @@
 void PutWorker(WorkerDirectory& directory, WorkerEntry entry, absl::Time now);
 
 /// The worker said that it is leaving. True if that was unknown. A process that
-/// starts later under the same instance id is not affected.
+/// starts later under the same instance id is not affected. `wall_now` is the
+/// time of day: an unlisted process has started before it.
 bool MarkLeaving(WorkerDirectory& directory,
                  absl::string_view instance,
-                 absl::Time now);
+                 absl::Time now,
+                 absl::Time wall_now);
 
 /// True if the worker gets no new calls because it leaves.
 bool IsLeaving(const WorkerEntry& entry);
--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "absl/strings/match.h"
+#include "absl/time/clock.h"
 #include "boragepaddle/event/clock.h"
 #include "boragepaddle/proxy/request_router.h"
 
@@ -177,8 +178,8 @@
   }
   RoutedCall& call = *this->calls.at(found->second);
   if (event::HasField(answer.fields, this->dialect.leaving) &&
-      catalog::MarkLeaving(this->store.workers, call.instance,
-                           event::BootNow())) {
+      catalog::MarkLeaving(this->store.workers, call.instance, event::BootNow(),
+                           absl::Now())) {
     this->log.LogState(telemetry::LogLine("entry", "worker_leaving")
                            .Add("instance", call.instance));
   }
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -222,6 +222,7 @@
   const absl::Time now = event::BootNow();
   const auto found = this->calls.find(id);
   if (found != this->calls.end()) {
+    this->RecordCallEnd(found->second.fingerprint, result.outcome, now);
     this->ApplyWorkerFields(found->second, result, now);
   }
   const bool completed = result.outcome == event::WorkerOutcome::kAnswered;
@@ -231,7 +232,6 @@
       result.outcome != event::WorkerOutcome::kNotSent;
   this->admission_rate_input.rejected +=
       result.outcome == event::WorkerOutcome::kNotRun;
-  this->RecordCallEnd(id, result.outcome, now);
   schema::HttpAnswer answer;
   answer.outcome = OutcomeOf(result.outcome);
   answer.reason = ReasonOf(result.outcome);
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -136,7 +136,9 @@
                          absl::Time now);
   void SetRateLimit(uint32_t rate_limit, absl::Time now);
   /// Updates what is known of crashes by the end of a call at the worker.
-  void RecordCallEnd(uint64_t id, event::WorkerOutcome outcome, absl::Time now);
+  void RecordCallEnd(uint64_t fingerprint,
+                     event::WorkerOutcome outcome,
+                     absl::Time now);
   void AttachUse(uint64_t id, schema::HttpAnswer& answer, absl::Time now);
   void Refuse(uint64_t id, schema::Reason reason);
   void Finish(uint64_t id, schema::HttpAnswer answer);
--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 #include "boragepaddle/base/stable_hash.h"
 #include "boragepaddle/event/clock.h"
 #include "boragepaddle/proxy/worker_proxy.h"
@@ -55,21 +56,17 @@
   }
   this->has_answered |= result.outcome == event::WorkerOutcome::kAnswered;
   if (event::HasField(result.fields, this->dialect.leaving) &&
-      catalog::MarkLeaving(this->store.workers, call.message.instance, now)) {
+      catalog::MarkLeaving(this->store.workers, call.message.instance, now,
+                           absl::Now())) {
     this->log.LogState(telemetry::LogLine("worker", "leaving")
                            .Add("instance", call.message.instance));
     this->OnDirectoryChanged();
   }
 }
 
-void WorkerProxy::RecordCallEnd(uint64_t id,
+void WorkerProxy::RecordCallEnd(uint64_t fingerprint,
                                 event::WorkerOutcome outcome,
                                 absl::Time now) {
-  const auto found = this->calls.find(id);
-  if (found == this->calls.end()) {
-    return;
-  }
-  const uint64_t fingerprint = found->second.fingerprint;
   if (outcome == event::WorkerOutcome::kConnectionLost) {
     quarantine::OnBrokenCall(this->crash_detector, fingerprint, now);
   } else if (outcome == event::WorkerOutcome::kAnswered) {
--- a/tests/unit/platform_path/catalog_test.cc
+++ b/tests/unit/platform_path/catalog_test.cc
@@ -138,8 +138,8 @@
   WorkerEntry entry = MakeEntry("i-1", 5);
   entry.started_ms = 1000;
   PutWorker(directory, entry, At(0));
-  CHECK(MarkLeaving(directory, "i-1", At(1)));
-  CHECK_FALSE(MarkLeaving(directory, "i-1", At(1)));
+  CHECK(MarkLeaving(directory, "i-1", At(1), At(1)));
+  CHECK_FALSE(MarkLeaving(directory, "i-1", At(1), At(1)));
   CHECK_FALSE(IsUsable(directory.entries.at("i-1")));
   // A change of its entry, and an entry that is listed again after an outage.
   entry.revision = 6;
@@ -158,5 +158,19 @@
   CHECK(IsUsable(directory.entries.at("i-1")));
 }
 
+TEST_CASE("A worker that says it leaves while it is not listed is remembered") {
+  WorkerDirectory directory;
+  CHECK(MarkLeaving(directory, "i-1", At(1), At(100)));
+  CHECK_FALSE(MarkLeaving(directory, "i-1", At(2), At(101)));
+  WorkerEntry entry = MakeEntry("i-1", 5);
+  entry.started_ms = 99'000;
+  PutWorker(directory, entry, At(3));
+  CHECK_FALSE(IsUsable(directory.entries.at("i-1")));
+  entry.revision = 6;
+  entry.started_ms = 101'000;
+  PutWorker(directory, entry, At(4));
+  CHECK(IsUsable(directory.entries.at("i-1")));
+}
+
 }  // namespace
 }  // namespace boragepaddle::catalog
