Ask only the process that was sent a call whether it received it

A node sent a call, its receiver lost power and came back as a new process, and the first connection to the new process was reset after its hello. RequestRouter::OnChannelClosed then replaced the incarnation of the receiver by that of the new process, which truthfully reported the call as never received.

The receiver is now set once, when the connection that carried the call closes; another process at its address means that the outcome is unknown.

--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -158,7 +158,7 @@
 
 void RequestRouter::ClearAttempt(RoutedCall& call) {
   call.is_attempt_pending = false;
-  call.is_resuming = false;
+  call.remote = recovery::OutboundAttempt();
   call.next_resume_at = absl::InfiniteFuture();
   this->calls_by_attempt.erase(call.attempt_id);
   if (call.channel != nullptr) {
@@ -315,7 +315,7 @@
 
 void RequestRouter::OnAttemptLost(RoutedCall& call, bool sent) {
   routing::OnCallLost(this->loads, call.instance);
-  if (sent || !call.is_resuming) {
+  if (sent || !call.remote.is_resuming) {
     routing::OnUnreachable(this->loads, call.instance, event::BootNow());
   }
   schema::HttpAnswer lost;
--- a/src/boragepaddle/proxy/request_router_resume.cc
+++ b/src/boragepaddle/proxy/request_router_resume.cc
@@ -54,7 +54,7 @@
   // once, so that a paused node does not resume to a backlog of connections.
   const bool reconnected = absl::c_any_of(pending, [this](uint64_t id) {
     const auto found = this->calls.find(id);
-    return found != this->calls.end() && found->second->is_resuming;
+    return found != this->calls.end() && found->second->remote.is_resuming;
   });
   if (!reconnected) {
     channel->Close();
@@ -72,15 +72,23 @@
     }
     RoutedCall& call = *found->second;
     call.channel = nullptr;
-    if (channel->was_open() && channel->peer_incarnation != 0) {
-      call.resume_host = channel->host;
-      call.resume_incarnation = channel->peer_incarnation;
-      resumable.push_back(id);
-    } else if (call.is_resuming && !channel->was_refused()) {
-      call.next_resume_at =
-          event::BootNow() + this->bounds.resume_retry_interval;
-    } else {
-      this->OnAttemptLost(call, channel->was_open() || call.is_resuming);
+    const recovery::ClosedConnection connection = {
+        channel->was_open(), channel->was_refused(), channel->peer_incarnation};
+    switch (recovery::OnConnectionClosed(call.remote, connection)) {
+      case recovery::AttemptDecision::kResume:
+        call.resume_host = channel->host;
+        resumable.push_back(id);
+        break;
+      case recovery::AttemptDecision::kResumeLater:
+        call.next_resume_at =
+            event::BootNow() + this->bounds.resume_retry_interval;
+        break;
+      case recovery::AttemptDecision::kNotSent:
+        this->OnAttemptLost(call, /*sent=*/false);
+        break;
+      case recovery::AttemptDecision::kUnknown:
+        this->OnAttemptLost(call, /*sent=*/true);
+        break;
     }
   }
   if (!resumable.empty()) {
@@ -104,7 +112,6 @@
   const bool sent = channel != nullptr && channel->Send(message);
   for (const uint64_t id : ids) {
     RoutedCall& call = *this->calls.at(id);
-    call.is_resuming = true;
     call.next_resume_at =
         sent ? absl::InfiniteFuture()
              : event::BootNow() + this->bounds.resume_retry_interval;
@@ -123,7 +130,7 @@
   std::map<std::pair<std::string, uint64_t>, std::vector<uint64_t>> due;
   for (const auto& [id, call] : this->calls) {
     if (call->is_attempt_pending && now >= call->next_resume_at) {
-      due[{call->resume_host, call->resume_incarnation}].push_back(id);
+      due[{call->resume_host, call->remote.receiver}].push_back(id);
     }
   }
   for (const auto& [node, ids] : due) {
@@ -153,7 +160,7 @@
     return;
   }
   RoutedCall& call = *this->calls.at(found->second);
-  if (call.is_resuming && call.channel == channel) {
+  if (call.remote.is_resuming && call.channel == channel) {
     this->OnAttemptLost(call, sent);
   }
 }
--- a/src/boragepaddle/proxy/routed_call.h
+++ b/src/boragepaddle/proxy/routed_call.h
@@ -11,6 +11,7 @@
 #include "boragepaddle/event/http_exchange.h"
 #include "boragepaddle/event/peer_channel.h"
 #include "boragepaddle/proxy/capacity_refusal.h"
+#include "boragepaddle/recovery/outbound_attempt.h"
 #include "boragepaddle/schema/messages.h"
 
 namespace boragepaddle::proxy {
@@ -69,14 +70,12 @@
   uint64_t attempt_id = 0;
   /// The attempt is sent to the worker of this VM.
   bool is_local = false;
-  /// The connection closed, and the peer is asked on a new one for the state of
-  /// the attempt. Without a channel, the next request is sent at
-  /// `next_resume_at`.
-  bool is_resuming = false;
+  /// State of an attempt that was sent to another node. While it is resumed
+  /// without a channel, the peer is asked again at `next_resume_at`.
+  recovery::OutboundAttempt remote;
   absl::Time next_resume_at = absl::InfiniteFuture();
-  /// Peer that received the attempt, set when the connection closed.
+  /// Host that is asked for the state of the attempt.
   std::string resume_host;
-  uint64_t resume_incarnation = 0;
   event::PeerChannelPtr channel;
   /// Id that the local worker proxy assigned to a local attempt.
   uint64_t local_call_id = 0;
