Test that a worker's response cut anywhere is never passed on as whole

Report of another operator: clients got a 200 with an empty or short body after a worker had closed in the middle of its head.

--- a/tests/unit/platform_path/scripted_worker.h
+++ b/tests/unit/platform_path/scripted_worker.h
@@ -5,11 +5,13 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -42,6 +44,10 @@
   int connections = 0;
   /// All requests have the same id.
   bool same_id = false;
+  /// Closes the connection after each script.
+  bool closes = false;
+  /// Scripts are written in two parts, the first of this size.
+  size_t first_part = 0;
 
   /// Sends `count` requests through a pool, one after the other.
   std::vector<WorkerResult> Run(size_t count) {
@@ -125,9 +131,17 @@
         }
         is_reused = true;
         const std::string& text = this->scripts[script++];
-        boost::asio::write(socket, boost::asio::buffer(text), error);
+        const size_t first = std::min(this->first_part, text.size());
+        if (first > 0) {
+          boost::asio::write(socket, boost::asio::buffer(text, first), error);
+          std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        boost::asio::write(
+            socket,
+            boost::asio::buffer(text.data() + first, text.size() - first),
+            error);
         this->WriteOn(socket, script);
-        if (absl::StrContains(text, "close")) {
+        if (this->closes || absl::StrContains(text, "close")) {
           break;
         }
       }
--- a/tests/unit/platform_path/worker_trouble_test.cc
+++ b/tests/unit/platform_path/worker_trouble_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cstring>
+
 #include "boragepaddle/event/http_get_client.h"
 #include "tests/unit/platform_path/scripted_worker.h"
 
@@ -116,6 +118,48 @@
   CHECK(worker.endless_bytes < 16 * kMegabyte);
 }
 
+/// A response and the number of its bytes without which it is incomplete.
+struct FramedResponse {
+  std::string text;
+  size_t size = 0;
+};
+
+std::vector<FramedResponse> FramedResponses() {
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r0\r\n";
+  std::vector<FramedResponse> responses;
+  for (const char* rest :
+       {"Content-Length: 5\r\n\r\nhello",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"}) {
+    responses.push_back({head + rest, head.size() + strlen(rest)});
+  }
+  // Ends with its connection, so that only the head can be incomplete.
+  responses.push_back({head + "\r\nhello", head.size() + strlen("\r\n")});
+  return responses;
+}
+
+// Guards against an empty or short body that is passed on as a whole answer.
+TEST_CASE("A response that ends anywhere before its end is no answer") {
+  for (const FramedResponse& response : FramedResponses()) {
+    for (size_t cut = 0; cut < response.size; ++cut) {
+      for (const size_t first_part : {size_t{0}, cut / 2, cut - cut / 4}) {
+        ScriptedWorker worker;
+        worker.closes = true;
+        worker.first_part = first_part;
+        worker.scripts = {response.text.substr(0, cut)};
+        const auto results = worker.Run(1);
+        CAPTURE(worker.scripts[0]);
+        CHECK(results[0].outcome == WorkerOutcome::kConnectionLost);
+      }
+    }
+    ScriptedWorker worker;
+    worker.closes = true;
+    worker.scripts = {response.text};
+    const auto results = worker.Run(1);
+    CHECK(results[0].outcome == WorkerOutcome::kAnswered);
+    CHECK(results[0].body == "hello");
+  }
+}
+
 TEST_CASE("An endless chunked body is aborted") {
   ScriptedWorker worker;
   worker.max_held = kMegabyte;
--- a/tests/unit/worker_client_test.cc
+++ b/tests/unit/worker_client_test.cc
@@ -75,6 +75,20 @@
             .end == WorkerCallEnd::kBroken);
 }
 
+// Guards against a head that ends early and is passed on with an empty body.
+TEST_CASE("worker client: a response that ends in its head is no answer") {
+  for (const std::string framing :
+       {"Content-Length: 5\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n",
+        "\r\n"}) {
+    const std::string head = "HTTP/1.1 200 OK\r\nX: y\r\n" + framing;
+    for (size_t cut = 0; cut < head.size(); ++cut) {
+      CAPTURE(head.substr(0, cut));
+      CHECK(CallScripted(head.substr(0, cut), true).end ==
+            WorkerCallEnd::kBroken);
+    }
+  }
+}
+
 // Guards against a timeout that is counted as a crash of the worker.
 TEST_CASE("worker client: a worker that does not respond is a timeout") {
   for (int i = 0; i < 5; ++i) {
