Ignore SIGHUP until the node can handle it

The platform sends SIGHUP at any time. The signal is now ignored from the first statement of main on; the settings that it announces are read afterwards anyway. The test sends SIGHUP while the process waits for its settings file; without the change the process ends.

--- a/src/apps/boragepaddle_sidecar.cc
+++ b/src/apps/boragepaddle_sidecar.cc
@@ -139,6 +139,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // The default action would end a process that is asked to reload while it
+  // starts.
+  signal(SIGHUP, SIG_IGN);
   gflags::SetUsageMessage(
       "Overload control node beside one upstream VM of the users' platform.\n"
       "Usage: boragepaddle_sidecar [--settings=FILE] [--check]");
--- a/tests/integration/platform_path_test.py
+++ b/tests/integration/platform_path_test.py
@@ -1,6 +1,7 @@
 """End-to-end tests on the users' platform, with real nodes, a fake store and fake workers."""
 
 import http.client
+import os
 import signal
 import tempfile
 import threading
@@ -181,6 +182,24 @@
         self.assertGreater(len([status for status in others if status == 200]), len(others) * 0.9)
         wait_until(self.nodes[0].is_ready, 5, "readiness after the restart")
 
+    def test_a_reload_signal_during_the_start_does_not_end_the_process(self):
+        """A node that starts is sent SIGHUP before it has read its settings."""
+        with open(self.nodes[0].settings, encoding="utf-8") as settings:
+            text = settings.read()
+        pipe = os.path.join(self.folder.name, "settings.pipe")
+        os.mkfifo(pipe)
+        self.nodes[0].kill()
+        self.nodes[0].settings = pipe
+        self.nodes[0].start()
+        process = self.nodes[0].process
+        # Opening the pipe for writing waits until the process reads it.
+        with open(pipe, "w", encoding="utf-8") as writer:
+            process.popen.send_signal(signal.SIGHUP)
+            time.sleep(0.1)
+            writer.write(text)
+        time.sleep(0.3)
+        self.assertTrue(process.is_running(), process.popen.returncode)
+
     def test_a_planned_stop_ends_no_request_that_was_read(self):
         self.serve()
         results = []
