Test the retry budget with clients that move between nodes

Suspected: each node takes the best of three windows for its requests, so the sum over the nodes could exceed the limit of every window.

--- a/tests/unit/platform_path/repeat_budget_test.cc
+++ b/tests/unit/platform_path/repeat_budget_test.cc
@@ -15,6 +15,12 @@
   return absl::UnixEpoch() + absl::Seconds(1000 + seconds);
 }
 
+/// Times within a window from `from` on.
+double CountIn(const std::vector<double>& times, double from) {
+  return static_cast<double>(absl::c_count_if(
+      times, [from](double at) { return at >= from && at < from + 10; }));
+}
+
 TEST_CASE("Retries of all nodes stay within the budget in every window") {
   // Guards against limits per node whose sum exceeds the limit of the fleet.
   constexpr size_t kNodes = 13;
@@ -38,19 +44,12 @@
       }
     }
   }
-  const auto count = [](const std::vector<double>& times, double from) {
-    double total = 0;
-    for (const double time : times) {
-      total += time >= from && time < from + 10 ? 1 : 0;
-    }
-    return total;
-  };
   CHECK(repeats_at.size() > 1000);
   for (double from = 10; from < 30; from += 0.5) {
     const double requests =
-        std::max({count(requests_at, from), count(requests_at, from - 5),
-                  count(requests_at, from - 10)});
-    CHECK(count(repeats_at, from) <= 0.2 * requests + kAllowance);
+        std::max({CountIn(requests_at, from), CountIn(requests_at, from - 5),
+                  CountIn(requests_at, from - 10)});
+    CHECK(CountIn(repeats_at, from) <= 0.2 * requests + kAllowance);
   }
 }
 
@@ -121,6 +120,50 @@
   CHECK(CountNodes(fleet) <= 3);
 }
 
+// Guards against nodes that each take the best of several windows, so that the
+// sum exceeds the limit of every window when clients move from node to node
+// (rule BUDGET).
+TEST_CASE("Clients that move between nodes do not raise the retry budget") {
+  constexpr size_t kNodes = 12;
+  constexpr double kAllowance = 47;
+  constexpr double kStep = 0.01;
+  for (const double period : {3.0, 5.0, 7.5, 10.0}) {
+    for (const double fails_from : {20.0, 22.5, 25.0, 27.5}) {
+      RetryBudgetSettings settings;
+      settings.allowance = kAllowance;
+      std::vector<RetryBudget> nodes(kNodes);
+      std::vector<double> requests_at;
+      std::vector<double> repeats_at;
+      for (double now = 0; now < 50; now += kStep) {
+        // One half of the nodes after the other has all clients.
+        const size_t first =
+            static_cast<size_t>(now / period) % 2 == 0 ? 0 : kNodes / 2;
+        for (size_t index = first; index < first + kNodes / 2; ++index) {
+          CountRequest(nodes[index], settings, At(now));
+          requests_at.push_back(now);
+          if (now >= fails_from &&
+              TryTakeRetry(nodes[index], settings, 1, kNodes, At(now))) {
+            repeats_at.push_back(now);
+          }
+        }
+      }
+      double worst = 0;
+      for (double from = 20; from < 40; from += 0.25) {
+        const double requests = std::max({CountIn(requests_at, from),
+                                          CountIn(requests_at, from - 5),
+                                          CountIn(requests_at, from - 10)});
+        worst = std::max(
+            worst, CountIn(repeats_at, from) / (0.2 * requests + kAllowance));
+      }
+      CAPTURE(period);
+      CAPTURE(fails_from);
+      CHECK(worst <= 1);
+      // Most of the budget remains usable.
+      CHECK(worst >= 0.5);
+    }
+  }
+}
+
 TEST_CASE("A burst of retries does not use up the budget of the whole window") {
   RetryBudgetSettings settings;
   RetryBudget budget;
