--- a/tests/unit/feed/feed_simulation.cc
+++ b/tests/unit/feed/feed_simulation.cc
@@ -134,16 +134,18 @@
   const size_t index = this->by_address.at(node.state.self.address);
   if (node.call_deadline == absl::InfinitePast()) {
     ++this->store_calls;
+    node.call_is_lost = false;
     const bool is_first = node.failures > 0;
     node.call_deadline = this->now + (is_first ? kStep : kWatch.wait);
     node.response_deadline =
         node.call_deadline +
         (is_first ? kWatch.max_response_margin : kWatch.min_response_margin);
   }
-  if (node.store_is_silent && this->now < node.response_deadline) {
+  node.call_is_lost |= node.store_is_silent;
+  if (node.call_is_lost && this->now < node.response_deadline) {
     return;
   }
-  if (this->store.down || !node.reaches_store || node.store_is_silent) {
+  if (this->store.down || !node.reaches_store || node.call_is_lost) {
     node.call_deadline = absl::InfinitePast();
     node.next_call =
         this->now +
--- a/tests/unit/feed/feed_simulation.h
+++ b/tests/unit/feed/feed_simulation.h
@@ -31,6 +31,9 @@
   bool reaches_store = true;
   /// Calls to the store get no answer and end with their response timeout.
   bool store_is_silent = false;
+  /// The call in progress was made, or waited, while the store was silent, so
+  /// it gets no answer even if the store is back.
+  bool call_is_lost = false;
   bool follows_store = false;
   absl::Time next_call;
   absl::Time call_deadline;
--- a/tests/unit/feed/feed_simulation_test.cc
+++ b/tests/unit/feed/feed_simulation_test.cc
@@ -17,6 +17,11 @@
 /// `config_apply_s`, less the batching delay and the latency of the store.
 constexpr absl::Duration kMaxDelay = absl::Milliseconds(1700);
 
+/// After a disturbance of the store, changes may take this much longer, for at
+/// most the contact time.
+constexpr absl::Duration kMaxStretch = absl::Seconds(5);
+constexpr absl::Duration kContactTime = absl::Seconds(3);
+
 FeedSimulation MakeConverged(size_t nodes, uint64_t seed = 1) {
   FeedSimulation simulation(nodes, 5, seed);
   simulation.Put("op/config");
@@ -143,6 +148,32 @@
   }
 }
 
+// Guards against readers that wait for answers to calls from the last moments
+// of a silent outage while the configuration changes.
+TEST_CASE("Changes after a silent outage arrive although its calls are lost") {
+  for (const size_t size : {13, 68, 195}) {
+    for (int phase = 0; phase < 10; ++phase) {
+      CAPTURE(size);
+      CAPTURE(phase);
+      FeedSimulation simulation = MakeConverged(size, 1 + phase);
+      const auto set_silent = [&simulation](bool silent) {
+        for (SimulatedNode& node : simulation.nodes) {
+          node.store_is_silent = silent;
+        }
+      };
+      set_silent(true);
+      simulation.RunFor(absl::Seconds(3) + absl::Milliseconds(170) * phase);
+      set_silent(false);
+      simulation.Put("op/config");
+      CHECK(simulation.TimeToConverge(absl::Seconds(20)) <
+            kMaxDelay + kMaxStretch);
+      simulation.RunFor(kContactTime);
+      simulation.Put("op/config");
+      CHECK(simulation.TimeToConverge(absl::Seconds(20)) < kMaxDelay);
+    }
+  }
+}
+
 TEST_CASE("A store that is down gets few calls, and its recovery is detected") {
   for (const size_t size : {30, 195, 1000}) {
     CAPTURE(size);
