Tell the other nodes at the end of a planned stop which calls were not read

A call that another node sent in the last moments of a stopping process was in its socket buffer when it exited.

Before it ends, a node now closes its listener for peers, sends PeerClosing with the calls still in progress, and ignores calls that arrive later. Senders route all others to another node, truthfully as not run. A resumed call stays unknown, since its answer may have been lost before.

--- a/src/boragepaddle/proxy/peer_network.cc
+++ b/src/boragepaddle/proxy/peer_network.cc
@@ -43,10 +43,7 @@
   };
   channel_events.on_suspect = this->events.on_suspect;
   channel_events.on_closed = [this](const PeerChannelPtr& channel) {
-    const auto found = this->outgoing.find(channel->host);
-    if (found != this->outgoing.end() && found->second == channel) {
-      this->outgoing.erase(found);
-    }
+    this->Retire(channel);
     this->all_channels.erase(channel);
     this->events.on_closed(channel);
   };
@@ -75,6 +72,13 @@
   return channel;
 }
 
+void PeerNetwork::Retire(const PeerChannelPtr& channel) {
+  const auto found = this->outgoing.find(channel->host);
+  if (found != this->outgoing.end() && found->second == channel) {
+    this->outgoing.erase(found);
+  }
+}
+
 void PeerNetwork::SendToOne(const schema::Message& message) {
   std::vector<PeerChannelPtr> open;
   for (const PeerChannelPtr& channel : this->all_channels) {
--- a/src/boragepaddle/proxy/peer_network.h
+++ b/src/boragepaddle/proxy/peer_network.h
@@ -39,6 +39,12 @@
   /// malformed.
   event::PeerChannelPtr ChannelTo(absl::string_view host, uint16_t port);
 
+  /// Accepts no more connections.
+  void StopListening() { this->listener.Close(); }
+
+  /// Later messages to the node are sent on another channel.
+  void Retire(const event::PeerChannelPtr& channel);
+
   /// Sends to one node with an open channel, round robin.
   void SendToOne(const schema::Message& message);
 
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -398,6 +398,7 @@
   }
   if (plan.listener_closed && !before.listener_closed) {
     this->client_server.StopListening();
+    this->TellPeersOfEnd();
   }
   if (plan.ended) {
     this->log.LogState(LogLine("node", "stopped")
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -68,6 +68,9 @@
                     const schema::HttpCancel& cancel);
   void OnPeerResume(const event::PeerChannelPtr& channel,
                     const schema::CallResume& resume);
+  /// Sends PeerClosing to the nodes that may send calls, and reads no more of
+  /// them.
+  void TellPeersOfEnd();
   /// Cancels calls whose sender did not reconnect in time.
   void ExpireCalls(absl::Time now);
   void OnChannelClosed(const event::PeerChannelPtr& channel);
@@ -119,6 +122,8 @@
   absl::Time shutdown_started_at = absl::InfiniteFuture();
   uint32_t sent_grant = 0;
   absl::Time grant_sent_at = absl::InfinitePast();
+  /// The other nodes were sent PeerClosing.
+  bool peers_told_of_end = false;
   ShutdownState shutdown;
   bool was_ready = false;
   bool requested_crash_reports = false;
--- a/src/boragepaddle/proxy/proxy_node_peers.cc
+++ b/src/boragepaddle/proxy/proxy_node_peers.cc
@@ -61,6 +61,8 @@
     this->OnPeerResume(channel, *resume);
   } else if (const auto* states = std::get_if<schema::CallStates>(&message)) {
     this->router.OnCallStates(channel, *states);
+  } else if (const auto* closing = std::get_if<schema::PeerClosing>(&message)) {
+    this->router.OnPeerClosing(channel, *closing);
   } else {
     this->replicator.OnMessage(channel, message);
   }
@@ -130,6 +132,9 @@
 
 void ProxyNode::OnPeerCall(const PeerChannelPtr& channel,
                            schema::HttpCall call) {
+  if (this->peers_told_of_end) {
+    return;
+  }
   const uint64_t sender = channel->peer_incarnation;
   const uint64_t call_id = call.call_id;
   if (!recovery::OnCall(this->inbound_calls, sender, channel->number,
@@ -159,6 +164,9 @@
 
 void ProxyNode::OnPeerResume(const PeerChannelPtr& channel,
                              const schema::CallResume& resume) {
+  if (this->peers_told_of_end) {
+    return;
+  }
   if (resume.incarnation != this->incarnation) {
     // The calls were sent to an earlier process at this address.
     channel->Send(schema::CallStates{{}, resume.call_ids});
@@ -172,6 +180,19 @@
   }
 }
 
+// Calls that arrive after this message are ignored, so that "never received" is
+// true for all calls that are not in progress.
+void ProxyNode::TellPeersOfEnd() {
+  this->peers_told_of_end = true;
+  this->peers.StopListening();
+  for (const auto& [number, channel] : this->incoming_channels) {
+    schema::PeerClosing closing;
+    closing.unfinished = recovery::CallsInProgress(this->inbound_calls,
+                                                   channel->peer_incarnation);
+    channel->Send(closing);
+  }
+}
+
 void ProxyNode::ExpireCalls(absl::Time now) {
   for (const uint64_t id : recovery::Expire(this->inbound_calls, now)) {
     this->worker_side.Cancel(id);
--- a/src/boragepaddle/proxy/request_router.h
+++ b/src/boragepaddle/proxy/request_router.h
@@ -79,6 +79,10 @@
   /// one for the state of the attempts.
   void OnChannelClosed(const event::PeerChannelPtr& channel);
 
+  /// The peer ends and reads no more messages.
+  void OnPeerClosing(const event::PeerChannelPtr& channel,
+                     const schema::PeerClosing& closing);
+
   /// The peer reported the state of resumed attempts.
   void OnCallStates(const event::PeerChannelPtr& channel,
                     const schema::CallStates& states);
--- a/src/boragepaddle/proxy/request_router_resume.cc
+++ b/src/boragepaddle/proxy/request_router_resume.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "absl/algorithm/container.h"
+#include "absl/container/flat_hash_set.h"
 #include "boragepaddle/event/clock.h"
 #include "boragepaddle/proxy/request_router.h"
 
@@ -152,6 +153,30 @@
   }
 }
 
+// A call that was sent just before the node ended was not read, so it can be
+// sent to another node. For a resumed call this is unknown: its answer may have
+// been lost with an earlier connection.
+void RequestRouter::OnPeerClosing(const event::PeerChannelPtr& channel,
+                                  const schema::PeerClosing& closing) {
+  this->peers.Retire(channel);
+  const absl::flat_hash_set<uint64_t> unfinished(closing.unfinished.begin(),
+                                                 closing.unfinished.end());
+  size_t rerouted = 0;
+  for (const uint64_t id : this->PendingCallsOn(channel)) {
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end() || found->second->remote.is_resuming ||
+        unfinished.contains(found->second->attempt_id)) {
+      continue;
+    }
+    ++rerouted;
+    this->OnAttemptLost(*found->second, /*sent=*/false);
+  }
+  this->log.LogState(telemetry::LogLine("entry", "peer_closing")
+                         .Add("host", channel->host)
+                         .Add("unfinished", unfinished.size())
+                         .Add("rerouted", rerouted));
+}
+
 void RequestRouter::EndResumedAttempt(const event::PeerChannelPtr& channel,
                                       uint64_t attempt,
                                       bool sent) {
--- a/src/boragepaddle/proxy/shutdown_state.cc
+++ b/src/boragepaddle/proxy/shutdown_state.cc
@@ -36,7 +36,8 @@
                        progress.busy_connections == 0;
   state.drained = state.refuses_calls && is_idle;
   if (!state.listener_closed &&
-      (state.drained || progress.elapsed >= deadline)) {
+      (state.drained ||
+       progress.elapsed >= deadline - settings.final_answer_period)) {
     state.listener_closed = true;
     state.closed_at = progress.elapsed;
   }
--- a/src/boragepaddle/proxy/shutdown_state.h
+++ b/src/boragepaddle/proxy/shutdown_state.h
@@ -23,8 +23,8 @@
   absl::Duration min_reserved_time = absl::Milliseconds(300);
   absl::Duration max_reserved_time = absl::Seconds(2);
   double reserved_longest_times = 1.25;
-  /// Connections that were accepted before the listener closed are served for
-  /// this long.
+  /// Time between the end of listening and the end of the process: connections
+  /// that were accepted before are served, and the other nodes are told.
   absl::Duration final_answer_period = absl::Milliseconds(60);
 };
 
--- a/src/boragepaddle/recovery/inbound_call_table.cc
+++ b/src/boragepaddle/recovery/inbound_call_table.cc
@@ -124,6 +124,18 @@
   return result;
 }
 
+std::vector<uint64_t> CallsInProgress(const InboundCallTable& table,
+                                      uint64_t sender) {
+  std::vector<uint64_t> ids;
+  const auto found = table.senders.find(sender);
+  if (found != table.senders.end()) {
+    for (const auto& [call_id, worker_call_id] : found->second.running) {
+      ids.push_back(call_id);
+    }
+  }
+  return ids;
+}
+
 std::vector<uint64_t> Expire(InboundCallTable& table, absl::Time now) {
   std::vector<uint64_t> cancelled;
   for (auto at = table.senders.begin(); at != table.senders.end();) {
--- a/src/boragepaddle/recovery/inbound_call_table.h
+++ b/src/boragepaddle/recovery/inbound_call_table.h
@@ -101,6 +101,10 @@
                       uint64_t sender,
                       absl::Span<const uint64_t> call_ids);
 
+/// Ids of the calls of a sender that are in progress.
+std::vector<uint64_t> CallsInProgress(const InboundCallTable& table,
+                                      uint64_t sender);
+
 /// Removes expired answers and senders. Returns the worker proxy's ids of calls
 /// to cancel because their sender did not reconnect.
 std::vector<uint64_t> Expire(InboundCallTable& table, absl::Time now);
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -435,6 +435,14 @@
   return !(a == b);
 }
 
+bool operator==(const PeerClosing& a, const PeerClosing& b) {
+  return a.unfinished == b.unfinished;
+}
+
+bool operator!=(const PeerClosing& a, const PeerClosing& b) {
+  return !(a == b);
+}
+
 bool operator==(const FeedSubscribe& a, const FeedSubscribe& b) {
   return a.active == b.active;
 }
@@ -1085,6 +1093,17 @@
   return reader.ok();
 }
 
+void Pack(Packer& packer, const PeerClosing& value) {
+  packer.pack_array(1);
+  Pack(packer, value.unfinished);
+}
+
+bool Unpack(const msgpack::object& object, PeerClosing* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->unfinished);
+  return reader.ok();
+}
+
 void Pack(Packer& packer, const FeedSubscribe& value) {
   packer.pack_array(1);
   Pack(packer, value.active);
@@ -1197,6 +1216,8 @@
       return DecodeAs<CallResume>(fields);
     case 42:
       return DecodeAs<CallStates>(fields);
+    case 43:
+      return DecodeAs<PeerClosing>(fields);
     case 37:
       return DecodeAs<FeedSubscribe>(fields);
     case 38:
@@ -1306,6 +1327,10 @@
   return 42;
 }
 
+uint32_t KindOf(const PeerClosing& /*message*/) {
+  return 43;
+}
+
 uint32_t KindOf(const FeedSubscribe& /*message*/) {
   return 37;
 }
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -566,6 +566,16 @@
 bool operator==(const CallStates& a, const CallStates& b);
 bool operator!=(const CallStates& a, const CallStates& b);
 
+/// Last message of a node that ends. Later calls are not read, and calls that
+/// it neither answered nor names here were never received.
+struct PeerClosing {
+  /// Calls of the receiver of this message that are still in progress.
+  std::vector<uint64_t> unfinished;
+};
+/// Compares all fields.
+bool operator==(const PeerClosing& a, const PeerClosing& b);
+bool operator!=(const PeerClosing& a, const PeerClosing& b);
+
 /// Subscribes to or unsubscribes from notices of store changes.
 struct FeedSubscribe {
   bool active = false;
@@ -630,6 +640,7 @@
                              Heartbeat,
                              CallResume,
                              CallStates,
+                             PeerClosing,
                              FeedSubscribe,
                              FeedNotice,
                              FeedFetch,
--- a/tests/unit/recovery/inbound_call_table_test.cc
+++ b/tests/unit/recovery/inbound_call_table_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace boragepaddle::recovery {
 namespace {
 
@@ -114,5 +116,17 @@
   CHECK(table.answer_bytes == 0);
 }
 
+// Guards against a node that ends and lets its peers believe that a running
+// call was never received.
+TEST_CASE("Calls in progress are those without an answer") {
+  InboundCallTable table = MakeTable();
+  std::vector<uint64_t> ids = CallsInProgress(table, kSender);
+  std::sort(ids.begin(), ids.end());
+  CHECK(ids == std::vector<uint64_t>{5, 6});
+  OnAnswer(table, kSender, Answer(5), At(1));
+  CHECK(CallsInProgress(table, kSender) == std::vector<uint64_t>{6});
+  CHECK(CallsInProgress(table, kSender + 1).empty());
+}
+
 }  // namespace
 }  // namespace boragepaddle::recovery
