Limit the calls of retried requests by the budget of the called service

Such a call now takes its place in the budget or waits for it as for capacity, and is refused as not run if there is none. That refusal says nothing about capacity, so roots do not back off.

--- a/src/boragepaddle/proxy/request_router.cc
+++ b/src/boragepaddle/proxy/request_router.cc
@@ -90,19 +90,16 @@
                       call.arrived);
   exchange->SetOnClientDisconnect(
       [this, call_id = call.id] { this->OnClientDisconnected(call_id); });
-  if (call.parent_is_retry) {
-    retry::CountRetry(this->budgets[call.service], this->BudgetSettings(),
-                      call.arrived);
-  }
   this->AdmitAndSend(call);
 }
 
 void RequestRouter::AdmitAndSend(RoutedCall& call) {
-  if (call.nested || call.admitted || this->AdmitRoot(call)) {
+  if (call.nested ? this->AdmitNested(call)
+                  : call.admitted || this->AdmitRoot(call)) {
     this->SendAttempt(call);
     return;
   }
-  if (this->draining) {
+  if (this->draining && !call.nested) {
     // The process is about to end, so waiting is pointless.
     this->ReplyNotRun(call);
     return;
@@ -133,6 +130,21 @@
       this->calls, [](const auto& call) { return !call.second->nested; }));
 }
 
+// A retried request repeats all of its calls, possibly many to one service, so
+// they are limited by the budget of the service that is called.
+bool RequestRouter::AdmitNested(RoutedCall& call) {
+  if (!call.parent_is_retry || call.admitted_in_budget) {
+    return true;
+  }
+  call.admitted_in_budget = retry::TryTakeRetry(
+      this->budgets[call.service], this->BudgetSettings(),
+      /*part=*/1, retry::CountNodes(this->fleet), event::BootNow());
+  if (!call.admitted_in_budget) {
+    call.last_reason = Reason::kRetryBudget;
+  }
+  return call.admitted_in_budget;
+}
+
 bool RequestRouter::AdmitRoot(RoutedCall& call) {
   if (this->draining) {
     call.last_reason = Reason::kLeaving;
--- a/src/boragepaddle/proxy/request_router.h
+++ b/src/boragepaddle/proxy/request_router.h
@@ -108,10 +108,11 @@
 
  private:
   void InheritFromParent(RoutedCall& call);
-  /// Sends the request if it is nested or admitted; otherwise it waits or is
-  /// refused.
+  /// Sends the request if it is admitted; otherwise it waits or is refused.
   void AdmitAndSend(RoutedCall& call);
   bool AdmitRoot(RoutedCall& call);
+  /// False if the call of a retried request does not fit into the retry budget.
+  bool AdmitNested(RoutedCall& call);
   void SendAttempt(RoutedCall& call);
   /// Waits for capacity; false if the time for waiting is over.
   bool WaitForCapacity(RoutedCall& call);
--- a/src/boragepaddle/proxy/request_router_replies.cc
+++ b/src/boragepaddle/proxy/request_router_replies.cc
@@ -114,7 +114,8 @@
   reply.fields.push_back(
       {this->dialect.retry_after,
        absl::StrFormat("%.3f", absl::ToDoubleSeconds(this->RetryAfter(call)))});
-  if (call.nested) {
+  // A refusal for lack of capacity; the retry budget says nothing of that.
+  if (call.nested && call.last_reason != Reason::kRetryBudget) {
     call.refusal.service = call.service;
     call.refusal.slot_time =
         routing::MeanCallTime(this->loads, this->store.workers, call.service);
--- a/src/boragepaddle/proxy/routed_call.h
+++ b/src/boragepaddle/proxy/routed_call.h
@@ -34,8 +34,10 @@
   absl::Time admitted_at;
   /// Priority of the root request.
   uint32_t priority = 0;
-  /// The parent request is itself a retry.
+  /// The parent request is itself a retry, and the call was counted in the
+  /// retry budget.
   bool parent_is_retry = false;
+  bool admitted_in_budget = false;
   bool wants_use = false;
   absl::Time arrived;
   /// End of the time limit of the client, of the route or of the parent
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -104,6 +104,8 @@
       return "answer-not-kept";
     case Reason::kRefusedBelow:
       return "refused-below";
+    case Reason::kRetryBudget:
+      return "retry-budget";
   }
   return "invalid";
 }
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -96,8 +96,11 @@
   kAnswerNotKept = 22,
   /// A service that the operation calls rejects the class.
   kRefusedBelow = 23,
+  /// The call was made by a retried request and exceeds the retry budget of its
+  /// service.
+  kRetryBudget = 24,
 };
-inline constexpr uint8_t kReasonCount = 24;
+inline constexpr uint8_t kReasonCount = 25;
 /// Returns the name used in settings, headers and logs.
 absl::string_view ToString(Reason value);
 /// Parses a name; false if it is unknown.
