Answer 502 when a worker's own answer would promise that nothing ran

408, 421, 429 and 503 tell clients that a request was not run. A worker says so with Not-Executed, or with 421. Requests that must not be repeated now get 502 for it, and 421 counts as a rejection. Before, the test got 503 for a request that had run.

--- a/src/boragepaddle/event/worker_connection.cc
+++ b/src/boragepaddle/event/worker_connection.cc
@@ -233,7 +233,8 @@
   }
   const absl::string_view echoed_id =
       ToView(message[ToBeast(this->pool.names.request_id)]);
-  const bool not_run = message.count(ToBeast(this->pool.names.not_run)) > 0;
+  const bool not_run = message.count(ToBeast(this->pool.names.not_run)) > 0 ||
+                       message.result() == http::status::misdirected_request;
   if (echoed_id != this->request_id && this->HasSent(echoed_id) &&
       this->skipped_responses < kMaxSkippedResponses) {
     // Duplicate response to a previous request; the expected one follows.
--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -18,6 +18,12 @@
 using schema::Outcome;
 using schema::Reason;
 
+/// True for statuses that tell clients that the request was not run. A worker's
+/// answer with such a status says so only if it is marked as a rejection.
+bool StatesNotRun(uint32_t status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 bool IsWorkerFailure(const schema::HttpAnswer& answer) {
   return answer.outcome != Outcome::kCompleted || answer.status >= 500;
 }
@@ -206,6 +212,10 @@
       call.refusal.slot_time =
           absl::Microseconds(static_cast<int64_t>(answer.refused_slot_us));
       this->RecordUse(call, answer);
+      if (!call.route->idempotent && StatesNotRun(answer.status)) {
+        this->ReplyUnknown(call, 502);
+        return;
+      }
       this->ReplyCompleted(call, answer);
       return;
     case Outcome::kNotRun:
--- a/tests/integration/platform_path_test.py
+++ b/tests/integration/platform_path_test.py
@@ -142,6 +142,16 @@
                 self.assertEqual(len(self.runs(attempt)), 1 if status == 200 else 0)
         self.assertEqual(len(self.workers[0].runs), before)
 
+    def test_a_status_of_the_worker_does_not_state_that_the_request_did_not_run(self):
+        """The worker has run the request and answers 503, without the field that marks a rejection."""
+        self.serve()
+        for worker in self.workers:
+            worker.work = lambda handler, attempt: 503
+        for node in self.nodes:
+            attempt = uuid.uuid4().hex
+            self.assertEqual(node.call("/write/x", "POST", attempt)[0], 502)
+            self.assertEqual(len(self.runs(attempt)), 1)
+
     def load(self, seconds, results):
         end = time.monotonic() + seconds
 
