Use all 64 bits of a process's incarnation

Receivers keep the calls of other nodes by the sender's incarnation. It had 31 random bits, so among 25,000 processes (CAPACITY.md) two have the same one with a probability of 0.14, and each start draws again; the calls of one of them would be dropped as repeats of the other's. By calculation; not seen.

--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -61,6 +61,13 @@
   return {dialect.request_id, dialect.not_run};
 }
 
+/// All 64 bits are random: with 32, two of 25,000 processes would often be
+/// taken for one. Never 0, which stands for an unknown process.
+uint64_t RandomIncarnation() {
+  std::random_device random;
+  return uint64_t{random()} << 32 | random() | 1u;
+}
+
 StoreState MakeStore(const NodeSettings& settings,
                      const StoreDialect& dialect) {
   StoreState store;
@@ -79,7 +86,7 @@
       settings(settings),
       parts(std::move(parts)),
       log(log),
-      incarnation(std::random_device()() | 1u),
+      incarnation(RandomIncarnation()),
       store(MakeStore(this->settings, this->parts.store)),
       workers(loop, FieldNames(this->parts.http)),
       worker_side(this->settings,
--- a/tools/mesh/process.py
+++ b/tools/mesh/process.py
@@ -17,7 +17,7 @@
     """A process exited early or did not start."""
 
 
-def _kill_with_launcher():
+def kill_with_launcher():
     # Ensures that the process ends if the launcher is killed before it can stop it.
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
@@ -38,7 +38,7 @@
         with open(self.out_path, "wb") as out, open(self.log_path, "ab") as log:
             self.popen = subprocess.Popen(
                 self.arguments, stdin=subprocess.DEVNULL, stdout=out,
-                stderr=log, preexec_fn=_kill_with_launcher)
+                stderr=log, preexec_fn=kill_with_launcher)
 
     @property
     def pid(self):
