--- a/tests/unit/platform_response_test.cc
+++ b/tests/unit/platform_response_test.cc
@@ -27,6 +27,21 @@
   CHECK(answer.value().vms[0].state == schema::VmState::kLeaving);
 }
 
+// Guards against a stack overflow: a document of another shape, nested 300,000
+// levels deep, ended every node of the users' platform.
+TEST_CASE("platform: deeply nested responses are no configuration") {
+  constexpr size_t kDepth = 300000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  for (const std::string& body :
+       {"{\"revision\": 7, \"files\": {\"a\": " + nested + "}}",
+        "{\"revision\": 7, \"files\": " + nested + "}", nested}) {
+    CHECK_FALSE(ParseConfigResponse(body).has_value());
+  }
+  CHECK_FALSE(ParseVmListResponse("{\"revision\": 7, \"vms\": " + nested + "}")
+                  .has_value());
+}
+
 // Guards against an exception, or a partially parsed list, on invalid
 // responses.
 TEST_CASE("platform: malformed responses are reported as errors") {
--- a/tests/unit/worker_client_test.cc
+++ b/tests/unit/worker_client_test.cc
@@ -1,11 +1,13 @@
 #include "boragepaddle/transport/worker_client.h"
 
 #include <doctest/doctest.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "absl/time/clock.h"
 #include "boragepaddle/transport/socket.h"
@@ -89,6 +91,35 @@
   }
 }
 
+// Guards against a caller that gets the answer to an earlier request: the
+// worker sends a second copy of it on a connection that is kept.
+TEST_CASE("worker client: a second copy of an answer is not the next answer") {
+  const Socket listener(std::move(Listen("127.0.0.1:0").value()));
+  const auto respond = [](const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body;
+  };
+  std::thread worker([&] {
+    std::vector<Socket> connections;
+    for (const std::string& reply :
+         {respond("1") + respond("1"), respond("2")}) {
+      // Also after the first request if the client opens another connection.
+      pollfd wait = {listener.get(), POLLIN, 0};
+      if (connections.empty() || poll(&wait, 1, /*timeout=*/300) > 0) {
+        connections.emplace_back(accept(listener.get(), nullptr, nullptr));
+      }
+      char request[4096];
+      recv(connections.back().get(), request, sizeof(request), 0);
+      send(connections.back().get(), reply.data(), reply.size(), MSG_NOSIGNAL);
+    }
+    absl::SleepFor(absl::Milliseconds(50));
+  });
+  WorkerClient client(LocalAddress(listener));
+  CHECK(client.Post("/op", {}, "body", absl::Seconds(2)).body == "1");
+  absl::SleepFor(absl::Milliseconds(50));
+  CHECK(client.Post("/op", {}, "body", absl::Seconds(2)).body == "2");
+  worker.join();
+}
+
 // Guards against a timeout that is counted as a crash of the worker.
 TEST_CASE("worker client: a worker that does not respond is a timeout") {
   for (int i = 0; i < 5; ++i) {
