--- /dev/null
+++ b/tools/soak/ledger.py
@@ -0,0 +1,186 @@
+"""What clients sent and were answered, what workers ran, and the promises that this breaks."""
+
+import bisect
+import collections
+import zlib
+
+# From the users' rules.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+CONTACT_S = 3.0
+DEADLINE_SLACK_S = 0.5
+GRACE_S = 6.0
+STOP_EARLY_S = 3.0
+MAX_LOST = 3
+MAX_OVERTIME = 20
+MAX_OVERTIME_SHARE = 0.2
+MAX_OVER_ATTEMPTS = 3
+
+
+class Request:
+    """One client attempt, or one call of a worker."""
+
+    def __init__(self, attempt, route, node, origin, method, path, body, deadline, now, is_kept):
+        self.attempt = attempt
+        self.route = route
+        self.node = node
+        self.origin = origin
+        self.content = (method, path, zlib.crc32(body))
+        self.deadline = deadline
+        self.sent_at = now
+        self.is_kept = is_kept
+        self.ended_at = None
+        # 0: the connection ended without an answer.
+        self.status = None
+        # (time, worker, instance) of each run, and times of all arrivals at workers.
+        self.runs = []
+        self.arrivals = []
+        # The call was made by a run that was a repeat.
+        self.is_in_repeat = False
+
+
+class Ledger:
+    """Checks while the run goes on what can be checked at once; check_all has the rest."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.requests = {}
+        self.violations = []
+        # (excess in seconds, time, worker, request) of requests with more time than their client has left.
+        self.overtime = []
+        # (from, to, node or None for all, kind) of each disturbance.
+        self.disturbances = []
+        # (node, time) of each SIGTERM.
+        self.stops = []
+
+    def report(self, rule, request, text):
+        self.violations.append("%s: %s (%s at node%s, sent %.3f, status %s, runs %s): %s" % (
+            rule, request.attempt, request.route["name"], request.node, request.sent_at, request.status,
+            [(round(at, 3), worker) for at, worker, _ in request.runs], text))
+
+    def on_sent(self, request):
+        self.requests[request.attempt] = request
+
+    def on_arrival(self, attempt, worker, origin, method, path, body, time_left_s, now):
+        """A worker has read a request. Returns it; None if no client sent it."""
+        request = self.requests.get(attempt)
+        if request is None:
+            self.violations.append("UNASKED: %s at worker %s was not sent" % (attempt, worker))
+            return None
+        request.arrivals.append(now)
+        if request.content != (method, path, zlib.crc32(body)):
+            self.report("UNASKED", request, "another method, path or body")
+        if request.origin != origin:
+            self.report("UNASKED", request, "caller %s instead of %s" % (origin, request.origin))
+        if now + time_left_s > request.deadline + DEADLINE_SLACK_S:
+            self.overtime.append((now + time_left_s - request.deadline, now, worker, request))
+        return request
+
+    def on_run(self, request, worker, instance, now):
+        request.runs.append((now, worker, instance))
+        if len(request.runs) > 1 and not request.route["idempotent"]:
+            self.report("TWICE", request, "ran %d times" % len(request.runs))
+
+    def on_answer(self, request, status, stamp, body, now):
+        request.status, request.ended_at = status, now
+        if 200 <= status < 300 and (stamp != "stamp-" + request.attempt or not any(
+                body == self.expected_body(instance, request) for _, _, instance in request.runs)):
+            self.report("MIXED", request, "body or stamp of no run")
+        elif status not in (200, 500) and stamp:
+            self.report("MIXED", request, "stamp %s on a failure of another status" % stamp)
+
+    @staticmethod
+    def expected_body(instance, request):
+        return ("%s:%s:%d" % (instance, request.attempt, request.content[2])).encode()
+
+    def on_no_answer(self, request, now):
+        request.status, request.ended_at = 0, now
+
+    def is_disturbed(self, node, start, end):
+        return any((other is None or other == node) and until >= start and begin <= end
+                   for begin, until, other, _ in self.disturbances)
+
+    def check_all(self):
+        """Promises that need the whole run."""
+        for request in self.requests.values():
+            if request.runs and not request.route["idempotent"] and request.status in NOT_RUN_STATUSES:
+                self.report("REFUSED", request, "answered as not run, but ran")
+        self.check_lost()
+        self.check_attempts()
+        self.check_overtime()
+        for service in {request.route["service"] for request in self.requests.values()}:
+            self.check_budget(service)
+        return self.violations
+
+    def is_excused_by_stop(self, request):
+        """The worker was still at work near the end of the grace time on a request of the first seconds."""
+        return any(node == request.node and request.sent_at <= at + STOP_EARLY_S and
+                   at + GRACE_S * 5 / 6 <= request.ended_at <= at + GRACE_S + 1 for node, at in self.stops)
+
+    def check_lost(self):
+        for request in self.requests.values():
+            is_planned = any(node == request.node and at <= request.ended_at <= at + GRACE_S + 1
+                             for node, at in self.stops if request.ended_at)
+            if (is_planned and request.status == 0 and request.arrivals and request.ended_at < request.deadline and
+                    not self.is_disturbed(request.node, request.sent_at - CONTACT_S, request.ended_at) and
+                    not self.is_excused_by_stop(request)):
+                self.report("LOST", request, "cut in a planned stop")
+        lost = [request for request in self.requests.values()
+                if request.status == 0 and request.arrivals and request.is_kept and
+                not self.is_disturbed(request.node, request.sent_at - CONTACT_S, request.ended_at) and
+                request.ended_at < request.deadline]
+        for request in lost if len(lost) > MAX_LOST else []:
+            self.report("LOST", request, "passed on, and its connection closed without an answer")
+
+    def check_overtime(self):
+        """A request does not count if the path to the worker was disturbed shortly before."""
+        over = [entry for entry in self.overtime
+                if not any(self.is_disturbed(node, entry[1] - CONTACT_S, entry[1])
+                           for node in (entry[3].node, entry[2]))]
+        arrived = sum(1 for request in self.requests.values() if request.arrivals)
+        if len(over) > MAX_OVERTIME and len(over) > MAX_OVERTIME_SHARE * arrived:
+            for excess, _, _, request in over:
+                self.report("BUDGET", request, "%.3f s more than is left" % excess)
+
+    def check_attempts(self):
+        over = [request for request in self.requests.values()
+                if len({worker for _, worker, _ in request.runs}) > request.route["max_attempts"] and
+                not any(self.is_disturbed(worker, request.sent_at - CONTACT_S, request.ended_at or request.deadline)
+                        for _, worker, _ in request.runs)]
+        for request in over if len(over) > MAX_OVER_ATTEMPTS else []:
+            self.report("BUDGET", request, "ran on more workers than max_attempts")
+
+    def check_budget(self, service):
+        """Repeats within each window against the requests of that window and of those before it."""
+        window = self.settings["budget_window_s"]
+        sent, repeats = [], []
+        for request in self.requests.values():
+            if request.route["service"] != service:
+                continue
+            sent.append(request.sent_at)
+            repeats += request.arrivals if request.is_in_repeat else request.arrivals[1:]
+        sent.sort()
+        repeats.sort()
+        count = lambda begin: bisect.bisect_left(sent, begin + window) - bisect.bisect_left(sent, begin)
+        worst = (0, None)
+        for first, begin in enumerate(repeats):
+            arrived = bisect.bisect_left(repeats, begin + window) - first
+            allowed = (self.settings["retry_budget_ratio"] *
+                       max(count(begin), count(begin - window), count(begin - window / 2)) +
+                       self.settings["budget_slack"])
+            worst = max(worst, (arrived - allowed, "%d repeats from %.3f, %.1f allowed" % (arrived, begin, allowed)))
+        if worst[0] > 0:
+            self.violations.append("BUDGET: service %s: %s" % (service, worst[1]))
+        self.budget_margin = getattr(self, "budget_margin", {})
+        self.budget_margin[service] = worst
+
+    def failures(self):
+        """Requests that were not served, for the analysis of a run."""
+        return [{"id": request.attempt, "route": request.route["name"], "node": request.node, "status": request.status,
+                 "sent_at": request.sent_at, "ended_at": request.ended_at, "arrivals": request.arrivals,
+                 "runs": request.runs}
+                for request in self.requests.values() if request.status != 200]
+
+    def summary(self):
+        by_status = collections.Counter(request.status for request in self.requests.values())
+        return {"requests": len(self.requests), "by_status": {str(key): by_status[key] for key in by_status},
+                "overtime": len(self.overtime), "repeated": sum(1 for request in self.requests.values() if len(request.arrivals) > 1)}
