Close a channel whose send queue is full when an answer is due

An answer that did not fit into the send queue was kept for the sender's next connection, but the channel stayed open, so the sender waited on it until its time limit. With PeerClosing it would even be told that the call was never received, although it had run. The channel is closed, and the sender asks on a new one.

--- a/src/boragepaddle/proxy/proxy_node_peers.cc
+++ b/src/boragepaddle/proxy/proxy_node_peers.cc
@@ -146,8 +146,12 @@
         const uint64_t number = recovery::OnAnswer(this->inbound_calls, sender,
                                                    answer, event::BootNow());
         const auto found = this->incoming_channels.find(number);
-        if (found != this->incoming_channels.end()) {
-          found->second->Send(answer);
+        // If the send queue is full, the sender gets the kept answer on its
+        // next connection. It must not wait on this one, where PeerClosing
+        // would tell it that the call was never received.
+        if (found != this->incoming_channels.end() &&
+            !found->second->Send(answer)) {
+          found->second->Close();
         }
       });
   recovery::OnForwarded(this->inbound_calls, sender, call_id, id);
