--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -129,9 +129,8 @@
             self.disturbances.append((now, now + lasts_s + AFTERMATH_S, node, kind))
 
     def links(self, name, **arguments):
-        # The other end of each link suffers as well.
-        everything = range(len(self.nodes))
-        self.disturb(everything, name, 4.0 if name in ("cut", "silence", "forget", "delay") else 0.0)
+        """Changes links; all nodes count as disturbed, since each link has another end."""
+        self.disturb(range(len(self.nodes)), name, 4.0 if name in ("cut", "silence", "forget", "delay") else 0.0)
         self.command(self.network, name, **arguments)
 
     def kill(self, index, restart_s):
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -45,6 +45,8 @@
         self.settings = settings
         self.requests = {}
         self.violations = []
+        # By service: repeats beyond the budget in the worst window (0 if none), and a description.
+        self.worst_budget_windows = {}
         # (excess in seconds, time, worker, request) of requests with more time than their client has left.
         self.overtime = []
         # (from, to, node or None for all, kind) of each disturbance.
@@ -160,7 +162,10 @@
             repeats += request.arrivals if request.is_in_repeat else request.arrivals[1:]
         sent.sort()
         repeats.sort()
-        count = lambda begin: bisect.bisect_left(sent, begin + window) - bisect.bisect_left(sent, begin)
+
+        def count(begin):
+            return bisect.bisect_left(sent, begin + window) - bisect.bisect_left(sent, begin)
+
         worst = (0, None)
         for first, begin in enumerate(repeats):
             arrived = bisect.bisect_left(repeats, begin + window) - first
@@ -170,8 +175,7 @@
             worst = max(worst, (arrived - allowed, "%d repeats from %.3f, %.1f allowed" % (arrived, begin, allowed)))
         if worst[0] > 0:
             self.violations.append("BUDGET: service %s: %s" % (service, worst[1]))
-        self.budget_margin = getattr(self, "budget_margin", {})
-        self.budget_margin[service] = worst
+        self.worst_budget_windows[service] = worst
 
     def failures(self):
         """Requests that were not served, for the analysis of a run."""
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -225,7 +225,7 @@
         self.ledger.disturbances, self.ledger.stops = commands.recv()
         violations = self.ledger.check_all()
         commands.send({"violations": violations, "failures": self.ledger.failures(), "summary": self.ledger.summary(),
-                       "budget": self.ledger.budget_margin, "served_late": self.served_share_late()})
+                       "budget": self.ledger.worst_budget_windows, "served_late": self.served_share_late()})
 
     def served_share_late(self):
         """Share of the requests of the last calm seconds that were served."""
