--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -150,6 +150,9 @@
   event::WorkerRequest MakeRequest(Call& call, absl::Time now) const;
   schema::GateLoad CurrentLoad() const;
   void LogAnswer(const Call& call, const schema::HttpAnswer& answer);
+  void LogCrash(size_t broken_calls,
+                absl::Span<const schema::CrashReport> reports);
+  void LogSuspectCleared(const schema::CrashReport& report);
 
   const NodeSettings& settings;
   const HttpDialect& dialect;
--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -73,6 +73,7 @@
     const auto cleared =
         quarantine::OnCompleted(this->quarantine, fingerprint, now);
     if (cleared) {
+      this->LogSuspectCleared(*cleared);
       this->report_crashes({*cleared});
     }
   }
@@ -84,14 +85,14 @@
         this->pool.HasConnectionFrom(this->crash_detector.broken_at);
     const std::vector<uint64_t> broken =
         quarantine::EndCrashCheck(this->crash_detector, is_open);
-    if (!broken.empty()) {
+    if (broken.empty()) {
+      this->log.LogState(telemetry::LogLine("worker", "crash_not_confirmed"));
+    } else {
       const uint64_t crash_id = base::StableHash(
           {this->settings.vm_id, absl::StrCat(absl::ToUnixNanos(now))});
       const auto reports = quarantine::OnWorkerCrash(
           this->quarantine, broken, crash_id, /*peers=*/{}, now);
-      this->log.LogState(telemetry::LogLine("worker", "crashed")
-                             .Add("broken_calls", broken.size())
-                             .Add("suspects", reports.size()));
+      this->LogCrash(broken.size(), reports);
       this->report_crashes(reports);
     }
   }
--- a/src/boragepaddle/proxy/worker_proxy_reports.cc
+++ b/src/boragepaddle/proxy/worker_proxy_reports.cc
@@ -1,3 +1,6 @@
+#include <string>
+
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "boragepaddle/event/clock.h"
 #include "boragepaddle/proxy/worker_proxy.h"
@@ -13,8 +16,21 @@
 /// Statuses from this one on are failures of the worker.
 constexpr uint32_t kFirstFailureStatus = 500;
 
+/// Limit on the suspects that the line about one crash names.
+constexpr size_t kMaxLoggedSuspects = 8;
+
+std::string FormatFingerprint(uint64_t fingerprint) {
+  return absl::StrCat(absl::Hex(fingerprint, absl::kZeroPad16));
+}
+
 }  // namespace
 
+void WorkerProxy::LogSuspectCleared(const schema::CrashReport& report) {
+  this->log.LogState(
+      telemetry::LogLine("worker", "suspect_cleared")
+          .Add("fingerprint", FormatFingerprint(report.fingerprint)));
+}
+
 void WorkerProxy::LogAnswer(const Call& call,
                             const schema::HttpAnswer& answer) {
   const bool served = answer.outcome == Outcome::kCompleted &&
@@ -28,6 +44,8 @@
   }
   telemetry::LogLine line("worker", served ? "served" : "ended");
   line.Add("request", call.message.request_id)
+      .Add("fingerprint", FormatFingerprint(call.fingerprint))
+      .Add("caller", call.message.origin_service)
       .Add("outcome", schema::ToString(answer.outcome))
       .Add("reason", schema::ToString(answer.reason))
       .Add("status", answer.status)
@@ -60,6 +78,20 @@
   return load;
 }
 
+void WorkerProxy::LogCrash(size_t broken_calls,
+                           absl::Span<const schema::CrashReport> reports) {
+  std::string suspects;
+  for (const schema::CrashReport& report :
+       reports.subspan(0, kMaxLoggedSuspects)) {
+    absl::StrAppend(&suspects, suspects.empty() ? "" : ",",
+                    FormatFingerprint(report.fingerprint), ":", report.crashes);
+  }
+  this->log.LogState(telemetry::LogLine("worker", "crashed")
+                         .Add("broken_calls", broken_calls)
+                         .Add("suspects", reports.size())
+                         .Add("crashes_by_suspect", suspects));
+}
+
 void WorkerProxy::LogLoad() {
   const schema::GateLoad load = this->CurrentLoad();
   this->log.LogState(
