--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -33,8 +33,8 @@
 uint64_t Fingerprint(const schema::HttpCall& call) {
   const std::string authority =
       absl::AsciiStrToLower(event::FieldValue(call.fields, "Host"));
-  return base::StableHash({call.method, authority, call.target,
-                           call.origin_service, call.body});
+  return base::StableHash(
+      {call.method, authority, call.target, call.origin_service, call.body});
 }
 
 Outcome OutcomeOf(event::WorkerOutcome end) {
