Count a lost answer as a crash only if the worker accepts no connection

Cause: a worker was taken for crashed if none of its older connections was open 50 ms after a call broke. A worker that closes the only connection for each lost answer looks the same. And a crashed worker whose connections end one by one kept an older one at that moment, so the crash was not counted. Now the node waits up to 1 s for the older connections to end, and then connects to the worker: a crashed one refuses or does not answer, as it is back only after some seconds.

--- a/src/boragepaddle/event/worker_connection_pool.cc
+++ b/src/boragepaddle/event/worker_connection_pool.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <utility>
 
+#include "boragepaddle/event/accept_probe.h"
 #include "boragepaddle/event/worker_connection.h"
 
 namespace boragepaddle::event {
@@ -75,6 +76,11 @@
   }
 }
 
+void WorkerConnectionPool::Probe(absl::Duration timeout,
+                                 std::function<void(bool)> done) {
+  ProbeAccept(this->loop, this->worker, timeout, std::move(done));
+}
+
 bool WorkerConnectionPool::HasConnectionFrom(absl::Time before) const {
   const auto is_older = [before](const WorkerConnection& connection) {
     return connection.connected_at() < before;
--- a/src/boragepaddle/event/worker_connection_pool.h
+++ b/src/boragepaddle/event/worker_connection_pool.h
@@ -85,6 +85,10 @@
   /// Closes idle connections that are about to reach the worker's idle timeout.
   void Tick(absl::Time now);
 
+  /// Opens a connection and closes it. `done` gets whether the worker accepted
+  /// it within the timeout; it is never called from within Probe.
+  void Probe(absl::Duration timeout, std::function<void(bool)> done);
+
   /// True if a connection that was established before the time is still open.
   bool HasConnectionFrom(absl::Time before) const;
 
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -129,9 +129,11 @@
 
   const catalog::WorkerEntry* LocalWorker() const;
   schema::Reason CheckCall(const Call& call, absl::Time now) const;
-  /// Ends a due check for a crash of the worker, and repeats the reports of
+  /// Advances a due check for a crash of the worker, and repeats the reports of
   /// rejected requests for nodes that missed them.
   void TickCrashes(absl::Time now);
+  /// Ends the check; reports the crash to the other nodes.
+  void EndCrashCheck(bool has_crashed);
   void ApplyDecisions(const admission::SlotDecisions& actions, absl::Time now);
   void StartCall(uint64_t id, absl::Time now);
   void OnResult(uint64_t id, event::WorkerResult result);
--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -22,6 +22,10 @@
 /// the time after which a node that was cut off counts as reachable again.
 constexpr absl::Duration kCrashReportInterval = absl::Seconds(1);
 
+/// A worker that accepts no connection in this time counts as crashed, like one
+/// that refuses it.
+constexpr absl::Duration kCrashProbeTimeout = absl::Milliseconds(500);
+
 }  // namespace
 
 void WorkerProxy::SetRateLimit(uint32_t rate_limit, absl::Time now) {
@@ -83,17 +87,17 @@
   if (quarantine::IsCrashCheckDue(this->crash_detector, now)) {
     const bool is_open =
         this->pool.HasConnectionFrom(this->crash_detector.broken_at);
-    const std::vector<uint64_t> broken =
-        quarantine::EndCrashCheck(this->crash_detector, is_open);
-    if (broken.empty()) {
-      this->log.LogState(telemetry::LogLine("worker", "crash_not_confirmed"));
-    } else {
-      const uint64_t crash_id = base::StableHash(
-          {this->settings.vm_id, absl::StrCat(absl::ToUnixNanos(now))});
-      const auto reports = quarantine::OnWorkerCrash(
-          this->quarantine, broken, crash_id, /*peers=*/{}, now);
-      this->LogCrash(broken.size(), reports);
-      this->report_crashes(reports);
+    switch (quarantine::AdvanceCrashCheck(this->crash_detector, is_open, now)) {
+      case quarantine::CrashCheckStep::kWait:
+        break;
+      case quarantine::CrashCheckStep::kProbe:
+        this->pool.Probe(kCrashProbeTimeout, [this](bool accepts) {
+          this->EndCrashCheck(/*has_crashed=*/!accepts);
+        });
+        break;
+      case quarantine::CrashCheckStep::kEnd:
+        this->EndCrashCheck(/*has_crashed=*/false);
+        break;
     }
   }
   if (now - this->crashes_reported_at >= kCrashReportInterval) {
@@ -102,6 +106,22 @@
   }
 }
 
+void WorkerProxy::EndCrashCheck(bool has_crashed) {
+  const absl::Time now = event::BootNow();
+  const std::vector<uint64_t> broken =
+      quarantine::EndCrashCheck(this->crash_detector, has_crashed);
+  if (broken.empty()) {
+    this->log.LogState(telemetry::LogLine("worker", "crash_not_confirmed"));
+    return;
+  }
+  const uint64_t crash_id = base::StableHash(
+      {this->settings.vm_id, absl::StrCat(absl::ToUnixNanos(now))});
+  const auto reports = quarantine::OnWorkerCrash(this->quarantine, broken,
+                                                 crash_id, /*peers=*/{}, now);
+  this->LogCrash(broken.size(), reports);
+  this->report_crashes(reports);
+}
+
 void WorkerProxy::OnCrashReport(const schema::CrashReport& report) {
   quarantine::OnCrashReport(this->quarantine, report, event::BootNow());
 }
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -148,13 +148,42 @@
   OnBrokenCall(detector, kFingerprint, kNow);
   OnBrokenCall(detector, 5, kNow + absl::Milliseconds(20));
   CHECK_FALSE(IsCrashCheckDue(detector, kNow + absl::Milliseconds(20)));
-  REQUIRE(IsCrashCheckDue(detector, kNow + absl::Milliseconds(50)));
-  CHECK(EndCrashCheck(detector, /*is_older_connection_open=*/true).empty());
-  OnBrokenCall(detector, kFingerprint, kNow);
-  OnBrokenCall(detector, 5, kNow);
-  CHECK(EndCrashCheck(detector, /*is_older_connection_open=*/false) ==
+  absl::Time at = kNow + absl::Milliseconds(50);
+  for (; at < kNow + absl::Seconds(1); at += absl::Milliseconds(50)) {
+    REQUIRE(IsCrashCheckDue(detector, at));
+    CHECK(AdvanceCrashCheck(detector, /*is_older_connection_open=*/true, at) ==
+          CrashCheckStep::kWait);
+  }
+  CHECK(AdvanceCrashCheck(detector, /*is_older_connection_open=*/true, at) ==
+        CrashCheckStep::kEnd);
+  CHECK(EndCrashCheck(detector, /*has_crashed=*/false).empty());
+  OnBrokenCall(detector, kFingerprint, at);
+  OnBrokenCall(detector, 5, at);
+  at += absl::Milliseconds(50);
+  CHECK(AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at) ==
+        CrashCheckStep::kProbe);
+  CHECK(EndCrashCheck(detector, /*has_crashed=*/true) ==
         std::vector<uint64_t>{kFingerprint, 5});
-  CHECK_FALSE(IsCrashCheckDue(detector, kNow + absl::Seconds(1)));
+  CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(1)));
+}
+
+// Guards against a crash that goes unnoticed because a connection to the worker
+// ends later than the others.
+TEST_CASE("quarantine: a crash is found after the last connection has ended") {
+  CrashDetector detector;
+  OnBrokenCall(detector, kFingerprint, kNow);
+  absl::Time at = kNow + absl::Milliseconds(50);
+  CHECK(AdvanceCrashCheck(detector, /*is_older_connection_open=*/true, at) ==
+        CrashCheckStep::kWait);
+  OnBrokenCall(detector, 5, at);
+  at += absl::Milliseconds(50);
+  REQUIRE(AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at) ==
+          CrashCheckStep::kProbe);
+  CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(2)));
+  OnBrokenCall(detector, 6, at);
+  CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(2)));
+  CHECK(EndCrashCheck(detector, /*has_crashed=*/true) ==
+        std::vector<uint64_t>{kFingerprint, 5, 6});
 }
 
 // Guards against memory growing with the number of crashes.
