Soak: crashing requests beside equal ones of another caller

Profiles crashes and many_crashes; the ledger counts the crashes of a request later than contact_s after its third one, without those from nodes out of touch.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -10,6 +10,8 @@
 DARK_S = (0.5, 2.5)
 CUT_S = (0.3, 4.0)
 DOWN_S = (0.5, 4.0)
+# Time for which clients send a crashing request again and again.
+CRASHING_S = (4.0, 8.0)
 # A new process starts this long before the links of a node that lost power are back.
 EARLY_START_S = 0.4
 # Series of events that run beside each other.
@@ -20,8 +22,11 @@
 CONNECTIONS = {"kill": 3, "power": 3, "resets": 4, "resets_after_hello": 2, "silence": 1, "cut": 2, "double_kill": 1,
                "term": 2}
 ANSWERS = {"answers_lost": 1}
+CRASHES = {"crashing_request": 0.3, "answers_lost": 1, "worker_crash": 0.3, "kill": 2, "term": 1, "resets": 1}
+MANY_CRASHES = dict(CRASHES, crashing_request=3, worker_crash=1)
 ALL = dict(CONNECTIONS, **PLANNED, **ANSWERS, freeze=2, store_down=1, worker_crash=2, herd_kill=0.5, delay=1)
-PROFILES = {"all": ALL, "connections": CONNECTIONS, "planned": PLANNED, "answers": ANSWERS}
+PROFILES = {"all": ALL, "connections": CONNECTIONS, "planned": PLANNED, "answers": ANSWERS,
+            "crashes": CRASHES, "many_crashes": MANY_CRASHES}
 
 
 class Schedule:
@@ -151,6 +156,10 @@
         for node in self.some_nodes(0.5):
             self.fleet.lose_answers(node, self.rng.choice((0.2, 0.6)), self.between(DOWN_S))
 
+    def crashing_request(self):
+        """Clients of one service send a request that crashes the workers that run it; equal ones of others complete."""
+        self.fleet.send_crashing_request(self.rng.choice(("s1", "s2")), self.between(CRASHING_S))
+
     def worker_leaves(self):
         node = self.any_node()
         self.fleet.list_worker(node, "draining")
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -207,6 +207,9 @@
         self.disturb([index], "answers_lost", for_s)
         self.command(self.traffic, "lose_answers", index=index, share=share, for_s=for_s)
 
+    def send_crashing_request(self, caller, for_s):
+        self.command(self.traffic, "send_crashing_request", caller=caller, for_s=for_s)
+
     def list_worker(self, index, state):
         address = "%s:%d" % self.worker_addresses[index]
         self.store.put("servers/" + self.instances[index], {
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -14,6 +14,8 @@
 MAX_OVERTIME = 20
 MAX_OVERTIME_SHARE = 0.2
 MAX_OVER_ATTEMPTS = 3
+MAX_CRASHES = 3
+MAX_LATE_CRASHES = 3
 
 
 class Request:
@@ -49,6 +51,9 @@
         self.worst_budget_windows = {}
         # (excess in seconds, time, worker, request) of requests with more time than their client has left.
         self.overtime = []
+        # Paths of crashing requests, with the service whose requests crash workers, and (time, request) of the crashes.
+        self.crashing = {}
+        self.crashes = collections.defaultdict(list)
         # (from, to, node or None for all, kind) of each disturbance.
         self.disturbances = []
         # (node, time) of each SIGTERM.
@@ -82,6 +87,12 @@
         if len(request.runs) > 1 and not request.route["idempotent"]:
             self.report("TWICE", request, "ran %d times" % len(request.runs))
 
+    def is_crashing(self, request):
+        return self.crashing.get(request.content[1]) == request.origin
+
+    def on_crash(self, request, now):
+        self.crashes[request.content[1]].append((now, request))
+
     def on_answer(self, request, status, stamp, body, now):
         request.status, request.ended_at = status, now
         if 200 <= status < 300 and (stamp != "stamp-" + request.attempt or not any(
@@ -109,6 +120,7 @@
         self.check_lost()
         self.check_attempts()
         self.check_overtime()
+        self.check_crashes()
         for service in {request.route["service"] for request in self.requests.values()}:
             self.check_budget(service)
         return self.violations
@@ -143,6 +155,16 @@
             for excess, _, _, request in over:
                 self.report("BUDGET", request, "%.3f s more than is left" % excess)
 
+    def check_crashes(self):
+        """Crashes long after the third one of a request, but for those that nodes out of touch have sent."""
+        for path, crashes in self.crashes.items():
+            late = [(at, request) for at, request in crashes[MAX_CRASHES:]
+                    if at > crashes[MAX_CRASHES - 1][0] + CONTACT_S and
+                    not any(self.is_disturbed(node, at - CONTACT_S, at)
+                            for node in (request.node, request.runs[-1][1]))]
+            if len(late) > MAX_LATE_CRASHES:
+                self.violations.append("BUDGET: %s crashed %d workers, %d of them late" % (path, len(crashes), len(late)))
+
     def check_attempts(self):
         over = [request for request in self.requests.values()
                 if len({worker for _, worker, _ in request.runs}) > request.route["max_attempts"] and
@@ -186,5 +208,7 @@
 
     def summary(self):
         by_status = collections.Counter(request.status for request in self.requests.values())
-        return {"requests": len(self.requests), "by_status": {str(key): by_status[key] for key in by_status},
-                "overtime": len(self.overtime), "repeated": sum(1 for request in self.requests.values() if len(request.arrivals) > 1)}
+        return {"requests": len(self.requests), "crashes": {path: len(self.crashes[path]) for path in self.crashing},
+                "by_status": {str(key): by_status[key] for key in by_status},
+                "overtime": len(self.overtime),
+                "repeated": sum(1 for request in self.requests.values() if len(request.arrivals) > 1)}
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -9,6 +9,9 @@
 from soak.ledger import Ledger, Request
 
 CLIENT_GRACE_S = 1.0
+# Pause between two copies of a crashing request, and time for which a worker that it crashed is down.
+CRASHING_PAUSE_S = 0.2
+CRASHED_DOWN_S = (1.0, 3.0)
 MAX_RETRY_AFTER_S = 0.4
 
 
@@ -87,6 +90,10 @@
             return
         is_repeat = request.is_in_repeat or len(request.arrivals) > 1
         ledger.on_run(request, self.index, self.instance, now)
+        if ledger.is_crashing(request):
+            ledger.on_crash(request, now)
+            asyncio.ensure_future(self.crash(self.traffic.random.uniform(*CRASHED_DOWN_S), self.instance))
+            raise ConnectionError("crashed")
         self.running += 1
         try:
             status = await self.work(request, is_repeat, now + int(fields.get("deadline-ms", "0")) / 1000)
@@ -130,7 +137,7 @@
             self.writer.close()
             self.writer = None
 
-    async def send(self, route, attempt, deadline, body=b"", is_in_repeat=False):
+    async def send(self, route, attempt, deadline, body=b"", is_in_repeat=False, name="x"):
         """Status, 0 without an answer; and the time after which to come back."""
         ledger = self.traffic.ledger
         try:
@@ -139,7 +146,7 @@
             self.writer = None
             return 0, 0.1
         now = time.monotonic()
-        path = route["prefix"] + "x"
+        path = route["prefix"] + name
         request = Request(attempt, route, self.node, self.traffic.layout["services"][self.node], "POST", path, body,
                           deadline, now, self.answered > 0)
         request.is_in_repeat = is_in_repeat
@@ -194,6 +201,19 @@
             await asyncio.sleep(rng.expovariate(1 / (self.layout["think_s"] * rng.choice((0.3, 1, 4)))))
         connection.close()
 
+    async def send_crashing_request(self, caller, for_s):
+        """The caller's requests of a new name crash workers; those of the other service complete."""
+        name = "crash-%d" % len(self.ledger.crashing)
+        route = self.routes["read"]
+        self.ledger.crashing[route["prefix"] + name] = caller
+        end = time.monotonic() + for_s
+        while time.monotonic() < end and not self.stopping:
+            for node in self.random.sample(range(len(self.layout["nodes"])), 2):
+                connection = Connection(self, node)
+                await connection.send(route, uuid.uuid4().hex[:16], time.monotonic() + route["limit_s"], name=name)
+                connection.close()
+            await asyncio.sleep(CRASHING_PAUSE_S)
+
     async def serve(self, commands):
         self.workers = [Worker(self, index) for index in range(len(self.layout["workers"]))]
         for worker in self.workers:
@@ -213,6 +233,8 @@
             elif name == "lose_answers":
                 worker = self.workers[arguments["index"]]
                 worker.lost_share, worker.lost_until = arguments["share"], time.monotonic() + arguments["for_s"]
+            elif name == "send_crashing_request":
+                clients.append(asyncio.ensure_future(self.send_crashing_request(**arguments)))
             elif name == "stop":
                 self.stopping = True
                 ended.set()
@@ -231,7 +253,8 @@
         """Share of the requests of the last calm seconds that were served."""
         end = max(request.sent_at for request in self.ledger.requests.values())
         late = [request for request in self.ledger.requests.values()
-                if request.sent_at > end - self.layout["calm_s"] / 2 and "." not in request.attempt]
+                if request.sent_at > end - self.layout["calm_s"] / 2 and "." not in request.attempt and
+                not self.ledger.is_crashing(request)]
         return sum(1 for request in late if request.status == 200) / max(1, len(late))
 
 
