Count no crash if the node itself lacks a descriptor for the probe

By reading, before it was seen: a node at its limit of descriptors cannot connect to its worker, which would count each lost answer as a crash. The probe now tells a refusal from a shortage of the own process.

--- a/src/boragepaddle/event/accept_probe.h
+++ b/src/boragepaddle/event/accept_probe.h
@@ -2,6 +2,7 @@
 #define BORAGEPADDLE_EVENT_ACCEPT_PROBE_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 
 #include "absl/time/time.h"
@@ -9,13 +10,20 @@
 
 namespace boragepaddle::event {
 
-/// Opens a connection to the endpoint and closes it at once. `done` gets
-/// whether the connection was accepted within the timeout; it is called once,
-/// never from within this function.
+enum class ProbeResult : uint8_t {
+  kAccepted,
+  /// The endpoint refused the connection or did not answer in time.
+  kNotAccepted,
+  /// This process lacked a resource for the connection, such as a descriptor.
+  kUnknown,
+};
+
+/// Opens a connection to the endpoint and closes it at once. `done` is called
+/// once, never from within this function.
 void ProbeAccept(boost::asio::io_context& loop,
                  const Tcp::endpoint& endpoint,
                  absl::Duration timeout,
-                 std::function<void(bool)> done);
+                 std::function<void(ProbeResult)> done);
 
 }  // namespace boragepaddle::event
 
--- a/src/boragepaddle/event/worker_connection_pool.cc
+++ b/src/boragepaddle/event/worker_connection_pool.cc
@@ -5,7 +5,6 @@
 #include <iterator>
 #include <utility>
 
-#include "boragepaddle/event/accept_probe.h"
 #include "boragepaddle/event/worker_connection.h"
 
 namespace boragepaddle::event {
@@ -77,7 +76,7 @@
 }
 
 void WorkerConnectionPool::Probe(absl::Duration timeout,
-                                 std::function<void(bool)> done) {
+                                 std::function<void(ProbeResult)> done) {
   ProbeAccept(this->loop, this->worker, timeout, std::move(done));
 }
 
--- a/src/boragepaddle/event/worker_connection_pool.h
+++ b/src/boragepaddle/event/worker_connection_pool.h
@@ -10,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "boragepaddle/event/accept_probe.h"
 #include "boragepaddle/event/http_exchange.h"
 #include "boragepaddle/event/socket_options.h"
 
@@ -85,9 +86,9 @@
   /// Closes idle connections that are about to reach the worker's idle timeout.
   void Tick(absl::Time now);
 
-  /// Opens a connection and closes it. `done` gets whether the worker accepted
-  /// it within the timeout; it is never called from within Probe.
-  void Probe(absl::Duration timeout, std::function<void(bool)> done);
+  /// Opens a connection to the worker and closes it. `done` is never called
+  /// from within Probe.
+  void Probe(absl::Duration timeout, std::function<void(ProbeResult)> done);
 
   /// True if a connection that was established before the time is still open.
   bool HasConnectionFrom(absl::Time before) const;
--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -91,8 +91,9 @@
       case quarantine::CrashCheckStep::kWait:
         break;
       case quarantine::CrashCheckStep::kProbe:
-        this->pool.Probe(kCrashProbeTimeout, [this](bool accepts) {
-          this->EndCrashCheck(/*has_crashed=*/!accepts);
+        this->pool.Probe(kCrashProbeTimeout, [this](event::ProbeResult result) {
+          this->EndCrashCheck(
+              /*has_crashed=*/result == event::ProbeResult::kNotAccepted);
         });
         break;
       case quarantine::CrashCheckStep::kEnd:
