--- a/tests/integration/crash_beside_equal_requests_test.py
+++ b/tests/integration/crash_beside_equal_requests_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from crashing_requests import CrashingRequestFixture
+from crashing_requests import WORKERS, CrashingRequestFixture
 
 EQUAL_CLIENTS = 4
 
@@ -38,7 +38,7 @@
         return handler.path.endswith("/crash") and handler.headers["Host"] == "a.example"
 
     def check_beside_other_authority(self, path):
-        self.run_clients(EQUAL_CLIENTS, lambda number: self.send(self.nodes[number % 4], path, "b.example"))
+        self.run_clients(EQUAL_CLIENTS, lambda number: self.send(self.nodes[number % WORKERS], path, "b.example"))
         self.check(path)
         for node in self.nodes:
             self.assertEqual(self.send(node, path, "b.example"), 200)
