--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,5 +1,4 @@
-"""Many clients keep idle connections to one node, within its descriptors. The node says that it is ready and closes every
-new connection unread."""
+"""Clients that send requests ahead leave; the node does not notice it, since it reads no more of their requests."""
 
 import asyncio
 import os
@@ -9,61 +8,62 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-ins-2"))
 from standins import Client, Worker, free_hosts, route, run_case  # noqa: E402
 
-# Kept connections; the node may have 4,100 descriptors, of which 200 are reserved.
-KEPT = 2100
-KEPT_WITHOUT_TROUBLE = 1000
-BATCH = 40
-NEWCOMERS = 8
-CONTACT_S = 3
+CLIENTS = 6
+REQUESTS = 12
+WORK_S = 3
+# "half a second later on more than a quarter of the idempotent requests"
+LATE_S = 0.5
+ALLOWED_SHARE = 0.25
 
 
 async def case(mesh, record, trouble):
-    async def look_up(request):
-        await asyncio.sleep(0.02)
-        return 200, b"x" * 500
+    # Ends of the runs by attempt id: an answer, or the end of the connection.
+    ended = {}
 
-    workers = [Worker(host, "s1", "i-%d" % index, record, look_up) for index, host in enumerate(free_hosts(2))]
-    await mesh.start(workers, [route("read", "idempotent", "s1", 5)])
-    node = mesh.nodes[0]
-    kept = []
+    async def work(request):
+        try:
+            await asyncio.sleep(WORK_S)
+            return 200, b"x" * 500
+        finally:
+            ended[request["attempt"]] = time.monotonic()
 
-    async def keep(index):
-        client = Client(node, record, "kept%d" % index)
-        kept.append(client)
-        return (await client.call("GET", "/read/x", 2000)).status
+    workers = [Worker(host, "s1", "i-%d" % index, record, work) for index, host in enumerate(free_hosts(2))]
+    await mesh.start(workers, [route("read", "idempotent", "s1", 10, 4)])
+    left = {}
 
-    statuses = []
-    count = KEPT if trouble else KEPT_WITHOUT_TROUBLE
-    for first in range(0, count, BATCH):
-        statuses += await asyncio.gather(*[keep(index) for index in range(first, min(count, first + BATCH))])
-    record.say("kept connections", sum(client.writer is not None for client in kept), "answered", statuses.count(200),
-               "after %.1f s" % (time.monotonic() - record.start))
+    async def client(index):
+        ahead = Client(mesh.nodes[0], record, "client%d" % index)
+        await ahead.connect()
+        attempts = []
+        for _ in range(REQUESTS):
+            attempts.append(ahead.send("GET", "/read/x", 8000))
+            await ahead.writer.drain()
+            await asyncio.sleep(0.02)
+        if trouble:
+            await asyncio.sleep(0.4)
+        else:
+            for _ in attempts:
+                await ahead.receive(type("Ignored", (), {"body": 0})())
+        ahead.close()
+        record.add("client", ahead.name, "closes its connection")
+        for attempt in attempts:
+            left[attempt] = time.monotonic()
 
-    begin = time.monotonic()
-    tries, taken, ready = [], [], []
-
-    async def newcomer(index):
-        while time.monotonic() < begin + CONTACT_S + 1:
-            client = Client(node, record, "new%d" % index)
-            tries.append(index)
-            try:
-                answer = await client.call("GET", "/read/x", 2000)
-                if answer.status != 0:
-                    taken.append(time.monotonic() - begin)
-            except (OSError, asyncio.TimeoutError):
-                pass
-            client.close()
-            await asyncio.sleep(0.25)
-
-    async def ask_ready():
-        while time.monotonic() < begin + CONTACT_S + 1:
-            ready.append(await node.is_ready())
-            await asyncio.sleep(0.5)
-
-    await asyncio.gather(ask_ready(), *[newcomer(index) for index in range(NEWCOMERS)])
-    record.say("RECOVER: in %.1f s" % (time.monotonic() - begin), len(set(tries)), "new clients tried", len(tries),
-               "times, connections taken", len(taken), "- the node said ready", ready.count(True), "of", len(ready), "times")
-    return bool(taken) or not all(ready)
+    for index in range(CLIENTS):
+        await client(index)
+        await asyncio.sleep(2)
+    await asyncio.sleep(WORK_S * 2 + 2)
+    arrived = {attempt: at for worker in workers for at, attempt in worker.arrivals}
+    # Runs that the client's close could have ended more than half a second before their end.
+    running = [attempt for attempt, at in arrived.items()
+               if at <= left[attempt] and at + WORK_S > left[attempt] + LATE_S
+               and ended[attempt] > left[attempt]]
+    still = [attempt for attempt in running if ended[attempt] > left[attempt] + LATE_S]
+    late = [attempt for attempt, at in arrived.items() if at > left[attempt] + LATE_S]
+    record.say("sent", len(left), "run", len(arrived), "running when the client left", len(running))
+    record.say("GONE: at work %.1f s later" % LATE_S, len(still), "of", len(running), "allowed a quarter;",
+               "reached a worker later than that", len(late))
+    return len(still) <= ALLOWED_SHARE * len(running)
 
 
 run_case(os.path.dirname(os.path.abspath(__file__)), case)
