--- a/review/10/case.py
+++ b/review/10/case.py
@@ -6,9 +6,12 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-ins-2"))
-from standins import Client, Worker, free_hosts, route, run_case  # noqa: E402
+from standins import CannotRun, Client, Worker, free_hosts, route, run_case  # noqa: E402
 
+# give_up of tidewater-mesh.toml: share = 0.213, for_s = 6.79. Six of 30 clients leave, within that time.
 CLIENTS = 6
+STAYING = 24
+LEAVING_S = 6.79
 REQUESTS = 12
 WORK_S = 3
 # "half a second later on more than a quarter of the idempotent requests"
@@ -21,6 +24,9 @@
     ended = {}
 
     async def work(request):
+        if request["target"].startswith("/quick/"):
+            await asyncio.sleep(0.02)
+            return 200, b"q" * 500
         try:
             await asyncio.sleep(WORK_S)
             return 200, b"x" * 500
@@ -28,7 +34,7 @@
             ended[request["attempt"]] = time.monotonic()
 
     workers = [Worker(host, "s1", "i-%d" % index, record, work) for index, host in enumerate(free_hosts(2))]
-    await mesh.start(workers, [route("read", "idempotent", "s1", 10, 4)])
+    await mesh.start(workers, [route("read", "idempotent", "s1", 10, 4), route("quick", "idempotent", "s1", 5)])
     left = {}
 
     async def client(index):
@@ -49,11 +55,25 @@
         for attempt in attempts:
             left[attempt] = time.monotonic()
 
+    async def stay(index):
+        staying = Client(mesh.nodes[0], record, "staying%d" % index)
+        while time.monotonic() < end:
+            await staying.call("GET", "/quick/x", 2000)
+            await asyncio.sleep(0.5)
+
+    begin = time.monotonic()
+    end = begin + 12
+    others = [asyncio.ensure_future(stay(index)) for index in range(STAYING)]
+    leavers = []
     for index in range(CLIENTS):
-        await client(index)
-        await asyncio.sleep(2)
+        leavers.append(asyncio.ensure_future(client(index)))
+        await asyncio.sleep(1)
+    await asyncio.gather(*leavers)
+    if trouble and time.monotonic() - begin > LEAVING_S:
+        raise CannotRun("the clients left over too long a time")
+    await asyncio.gather(*others)
     await asyncio.sleep(WORK_S * 2 + 2)
-    arrived = {attempt: at for worker in workers for at, attempt in worker.arrivals}
+    arrived = {attempt: at for worker in workers for at, attempt in worker.arrivals if attempt in left}
     # Runs that the client's close could have ended more than half a second before their end.
     running = [attempt for attempt, at in arrived.items()
                if at <= left[attempt] and at + WORK_S > left[attempt] + LATE_S
