Refuse calls that would outlast a planned stop

Callers saw calls of a worker closed without an answer when the node of its VM ended (LOST). The calls had been passed on and ran at another VM; workers that made them answered 500.

Cause: a stopping node accepted calls until a reserve remained that came from all routes together, so that a route without recent calls counted as short, and it passed on the calls of its worker until the last moment.

From the moment at which new root requests are refused, a call is now taken or passed on only if it fits into the time that is left: its time limit, or 1.25 times the longest recent time of its route if enough calls show that time. A refusal is "not run", does not count as a lack of capacity of the called service, and leaves the parent free to be retried at another node. Each refusal and each request that the end of the process cuts has a log line.

--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -108,6 +108,7 @@
       worker_side(this->settings,
                   this->parts.http,
                   this->store,
+                  this->shutdown,
                   this->workers,
                   log,
                   this->metrics,
@@ -120,6 +121,7 @@
              this->settings,
              this->parts.http,
              this->store,
+             this->shutdown,
              this->worker_side,
              this->peers,
              this->account_limiter,
@@ -282,7 +284,7 @@
 }
 
 bool ProxyNode::IsReady() const {
-  return this->shutdown_started_at == absl::InfiniteFuture() &&
+  return this->shutdown.started_at == absl::InfiniteFuture() &&
          this->HasStoreState() &&
          this->replicator.HasInitialState(event::BootNow());
 }
@@ -442,10 +444,10 @@
 }
 
 void ProxyNode::StartShutdown() {
-  if (this->shutdown_started_at != absl::InfiniteFuture()) {
+  if (this->shutdown.started_at != absl::InfiniteFuture()) {
     return;
   }
-  this->shutdown_started_at = event::BootNow();
+  this->shutdown.started_at = event::BootNow();
   this->shutdown.settings.grace_period = this->settings.shutdown_grace_period;
   this->log.LogState(LogLine("node", "stopping")
                          .Add("entry_calls", this->router.in_flight())
@@ -457,11 +459,11 @@
 }
 
 void ProxyNode::AdvanceShutdown(absl::Time now) {
-  if (this->shutdown_started_at == absl::InfiniteFuture()) {
+  if (this->shutdown.started_at == absl::InfiniteFuture()) {
     return;
   }
   ShutdownProgress progress;
-  progress.elapsed = now - this->shutdown_started_at;
+  progress.elapsed = now - this->shutdown.started_at;
   progress.root_requests = this->router.RootRequestsInFlight();
   progress.entry_requests = this->router.in_flight();
   progress.worker_calls =
@@ -477,12 +479,6 @@
 void ProxyNode::ApplyShutdown(const ShutdownState& before,
                               const ShutdownProgress& progress) {
   const ShutdownState& plan = this->shutdown;
-  if (plan.refuses_roots && !before.refuses_roots) {
-    this->router.StartDraining();
-  }
-  if (plan.refuses_calls && !before.refuses_calls) {
-    this->worker_side.StopAccepting();
-  }
   if (plan.listener_closed && !before.listener_closed) {
     this->client_server.StopListening();
     this->TellPeersOfEnd();
@@ -492,6 +488,7 @@
                            .Add("drained", plan.drained)
                            .Add("entry_calls", progress.entry_requests)
                            .Add("worker_calls", progress.worker_calls));
+    this->router.LogUnfinished(event::BootNow());
     this->loop.stop();
   }
 }
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -126,6 +126,7 @@
   /// reserve of it.
   event::MemoryBudget memory;
   StoreState store;
+  ShutdownState shutdown;
   telemetry::RequestMetrics metrics;
   event::BodySender body_sender;
   InboundBodies inbound_bodies;
@@ -148,12 +149,10 @@
   absl::Time costs_logged_at = absl::InfinitePast();
   absl::Time last_peer_tick;
   absl::Time last_reload;
-  absl::Time shutdown_started_at = absl::InfiniteFuture();
   uint32_t sent_grant = 0;
   absl::Time grant_sent_at = absl::InfinitePast();
   /// The other nodes were sent PeerClosing.
   bool peers_told_of_end = false;
-  ShutdownState shutdown;
   bool was_ready = false;
   bool requested_crash_reports = false;
 };
--- a/src/boragepaddle/proxy/proxy_node_peers.cc
+++ b/src/boragepaddle/proxy/proxy_node_peers.cc
@@ -104,7 +104,7 @@
       channel->Send(report);
     }
   }
-  if (this->shutdown_started_at != absl::InfiniteFuture()) {
+  if (this->shutdown.started_at != absl::InfiniteFuture()) {
     channel->Send(this->worker_side.MakeLoadNotice());
   }
 }
--- a/src/boragepaddle/proxy/request_router.cc
+++ b/src/boragepaddle/proxy/request_router.cc
@@ -52,6 +52,7 @@
                              const NodeSettings& settings,
                              const HttpDialect& dialect,
                              StoreState& store,
+                             const ShutdownState& shutdown,
                              WorkerProxy& local_worker,
                              PeerNetwork& peers,
                              AccountLimiter& account_limiter,
@@ -64,6 +65,7 @@
       bounds(),
       dialect(dialect),
       store(store),
+      shutdown(shutdown),
       local_worker(local_worker),
       peers(peers),
       account_limiter(account_limiter),
@@ -146,7 +148,7 @@
     this->SendAttempt(call);
     return;
   }
-  if (this->draining && !call.nested) {
+  if (this->shutdown.refuses_roots && !call.nested) {
     // The process is about to end, so waiting is pointless.
     this->ReplyNotRun(call);
     return;
@@ -224,7 +226,7 @@
 }
 
 bool RequestRouter::AdmitRoot(RoutedCall& call) {
-  if (this->draining) {
+  if (this->shutdown.refuses_roots) {
     call.last_reason = Reason::kLeaving;
     return false;
   }
--- a/src/boragepaddle/proxy/request_router.h
+++ b/src/boragepaddle/proxy/request_router.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "boragepaddle/admission/call_times.h"
 #include "boragepaddle/event/body_sender.h"
 #include "boragepaddle/event/http_exchange.h"
 #include "boragepaddle/event/memory_budget.h"
@@ -19,6 +20,7 @@
 #include "boragepaddle/proxy/node_settings.h"
 #include "boragepaddle/proxy/peer_network.h"
 #include "boragepaddle/proxy/routed_call.h"
+#include "boragepaddle/proxy/shutdown_state.h"
 #include "boragepaddle/proxy/store_state.h"
 #include "boragepaddle/proxy/worker_proxy.h"
 #include "boragepaddle/retry/fleet_size.h"
@@ -64,6 +66,7 @@
                 const NodeSettings& settings,
                 const HttpDialect& dialect,
                 StoreState& store,
+                const ShutdownState& shutdown,
                 WorkerProxy& local_worker,
                 PeerNetwork& peers,
                 AccountLimiter& account_limiter,
@@ -123,8 +126,8 @@
   /// Number of root requests in flight.
   size_t RootRequestsInFlight() const;
 
-  /// Refuses new root requests. Calls of the local worker are still accepted.
-  void StartDraining() { this->draining = true; }
+  /// Logs the requests that are in progress when the process ends.
+  void LogUnfinished(absl::Time now);
 
  private:
   void InheritFromParent(RoutedCall& call);
@@ -143,6 +146,9 @@
   /// False if the call of a retried request does not fit into the retry budget.
   bool AdmitNested(RoutedCall& call);
   void SendAttempt(RoutedCall& call);
+  CallTimeBounds TimeBounds(const RoutedCall& call, absl::Time now) const;
+  /// Ends a call that could not complete before this process does.
+  void RefuseForShutdown(RoutedCall& call, absl::Time now);
   /// Waits for capacity; false if the time for waiting is over.
   bool WaitForCapacity(RoutedCall& call);
   void SendTo(RoutedCall& call, const catalog::WorkerEntry& worker);
@@ -186,6 +192,8 @@
   bool IsRetryableFailure(const RoutedCall& call,
                           const schema::HttpAnswer& answer) const;
   void ReplyUnknown(RoutedCall& call, uint32_t status);
+  /// What the end of a call of the local worker means for its parent.
+  void RecordNestedEnd(const RoutedCall& call, uint32_t status, absl::Time now);
   /// Ends the call. Without a reply, the client has left.
   void Finish(RoutedCall& call,
               absl::optional<event::HttpReply> reply,
@@ -201,6 +209,7 @@
   const RequestRouterSettings bounds;
   const HttpDialect& dialect;
   StoreState& store;
+  const ShutdownState& shutdown;
   WorkerProxy& local_worker;
   PeerNetwork& peers;
   AccountLimiter& account_limiter;
@@ -210,7 +219,6 @@
   telemetry::RequestMetrics& metrics;
   std::mt19937_64 random;
   const absl::Time started;
-  bool draining = false;
   uint64_t next_id = 1;
   uint64_t next_attempt = 1;
   absl::flat_hash_map<uint64_t, std::unique_ptr<RoutedCall>> calls;
@@ -225,6 +233,8 @@
   routing::LoadTable loads;
   routing::WorkerIndex worker_index;
   routing::RootRateLimiter root_limiter;
+  /// Times of the completed calls of the local worker, by route.
+  admission::CallTimes nested_times;
   /// Requests of each route at the last LogRootCosts.
   absl::flat_hash_map<std::string, uint64_t> logged_requests;
   /// EvictedAccounts at the last LogRootCosts.
--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -38,6 +38,11 @@
     this->TimeOut(call);
     return;
   }
+  if (call.nested &&
+      !FitsBeforeEnd(this->shutdown, this->TimeBounds(call, now), now)) {
+    this->RefuseForShutdown(call, now);
+    return;
+  }
   routing::WorkerQuery query;
   query.service = call.service;
   query.availability_zone = this->settings.availability_zone;
@@ -67,6 +72,35 @@
   this->SendTo(call, *worker);
 }
 
+CallTimeBounds RequestRouter::TimeBounds(const RoutedCall& call,
+                                         absl::Time now) const {
+  CallTimeBounds bounds;
+  bounds.limit = call.deadline - now;
+  bounds.longest_recent = admission::LongestCallTime(
+      this->nested_times, call.route->name, call.service, now);
+  return bounds;
+}
+
+void RequestRouter::RefuseForShutdown(RoutedCall& call, absl::Time now) {
+  const CallTimeBounds bounds = this->TimeBounds(call, now);
+  this->log.LogFailedRequest(
+      telemetry::LogLine("entry", "refused_for_shutdown")
+          .Add("request", call.request_id)
+          .Add("route", call.route->name)
+          .Add("time_left_ms", absl::ToInt64Milliseconds(bounds.limit))
+          .Add("longest_recent", absl::FormatDuration(bounds.longest_recent))
+          .Add("process_ends_in_ms",
+               absl::ToInt64Milliseconds(TimeUntilEnd(this->shutdown, now))),
+      now);
+  call.refused_for_shutdown = true;
+  call.last_reason = Reason::kLeaving;
+  if (call.may_have_run) {
+    this->ReplyUnknown(call, 502);
+    return;
+  }
+  this->ReplyNotRun(call);
+}
+
 // A refused nested call wastes all work of its ancestors, and a service often
 // has capacity again a moment later, such as when one of its nodes restarts. A
 // root request waits only as long as a later refusal does the client no harm.
--- a/src/boragepaddle/proxy/request_router_credit.cc
+++ b/src/boragepaddle/proxy/request_router_credit.cc
@@ -21,7 +21,8 @@
 
 void RequestRouter::TakeCredit(RoutedCall& call) {
   const catalog::ClientAccount* account = call.client_account;
-  if (account == nullptr || account->rate_per_s <= 0 || this->draining) {
+  if (account == nullptr || account->rate_per_s <= 0 ||
+      this->shutdown.refuses_roots) {
     this->AdmitAndSend(call);
     return;
   }
--- a/src/boragepaddle/proxy/request_router_replies.cc
+++ b/src/boragepaddle/proxy/request_router_replies.cc
@@ -120,8 +120,10 @@
   reply.fields.push_back(
       {this->dialect.retry_after,
        absl::StrFormat("%.3f", absl::ToDoubleSeconds(this->RetryAfter(call)))});
-  // A refusal for lack of capacity; the retry budget says nothing of that.
-  if (call.nested && call.last_reason != Reason::kRetryBudget) {
+  // A refusal for lack of capacity; the retry budget and the end of this
+  // process say nothing of that.
+  if (call.nested && call.last_reason != Reason::kRetryBudget &&
+      !call.refused_for_shutdown) {
     call.refusal.service = call.service;
     call.refusal.slot_time =
         routing::MeanCallTime(this->loads, this->store.workers, call.service);
@@ -186,8 +188,8 @@
     end.now = now;
     routing::OnRootRequestEnded(this->root_limiter, end);
   }
-  if (call.nested && (status < 200 || status >= 300)) {
-    this->local_worker.RecordNestedFailure(call.parent_id, call.refusal);
+  if (call.nested) {
+    this->RecordNestedEnd(call, status, now);
   }
   const auto exchange = call.exchange;
   this->calls.erase(call.id);
@@ -196,6 +198,32 @@
   }
 }
 
+void RequestRouter::RecordNestedEnd(const RoutedCall& call,
+                                    uint32_t status,
+                                    absl::Time now) {
+  if (status >= 200 && status < 300) {
+    admission::RecordCallTime(this->nested_times, call.route->name,
+                              call.service, now - call.arrived, now);
+  } else if (!call.refused_for_shutdown) {
+    // At another node the parent could complete, so it may be retried there.
+    this->local_worker.RecordNestedFailure(call.parent_id, call.refusal);
+  }
+}
+
+void RequestRouter::LogUnfinished(absl::Time now) {
+  for (const auto& [id, call] : this->calls) {
+    this->log.LogFailedRequest(
+        telemetry::LogLine("entry", "unfinished_at_end")
+            .Add("request", call->request_id)
+            .Add("route", call->route->name)
+            .Add("nested", call->nested)
+            .Add("instance", call->instance)
+            .Add("sent", call->is_attempt_pending)
+            .Add("ms", absl::ToInt64Milliseconds(now - call->arrived)),
+        now);
+  }
+}
+
 void RequestRouter::LogRootCosts(absl::Time now) {
   const uint64_t evicted = routing::EvictedAccounts(this->root_limiter);
   if (evicted != this->logged_evictions) {
--- a/src/boragepaddle/proxy/routed_call.h
+++ b/src/boragepaddle/proxy/routed_call.h
@@ -86,6 +86,8 @@
   bool over_fair_share = false;
   /// Refusal of this nested call, or of a call nested in this one.
   CapacityRefusal refusal;
+  /// Not sent, since this process ends before the call could complete.
+  bool refused_for_shutdown = false;
   /// An attempt may have run without a complete answer.
   bool may_have_run = false;
   schema::Reason last_reason = schema::Reason::kNoUpstream;
--- a/src/boragepaddle/proxy/shutdown_state.cc
+++ b/src/boragepaddle/proxy/shutdown_state.cc
@@ -17,6 +17,10 @@
                   progress.longest_call_time * settings.reserved_longest_times);
 }
 
+absl::Duration LatestEnd(const ShutdownSettings& settings) {
+  return settings.grace_period - settings.margin;
+}
+
 }  // namespace
 
 // While root requests keep the process alive anyway, its worker remains
@@ -24,7 +28,7 @@
 // would have no worker until the slowest of these requests ends.
 void Advance(ShutdownState& state, const ShutdownProgress& progress) {
   const ShutdownSettings& settings = state.settings;
-  const absl::Duration deadline = settings.grace_period - settings.margin;
+  const absl::Duration deadline = LatestEnd(settings);
   state.refuses_roots |= progress.elapsed >= settings.accept_period;
   const bool roots_ended = state.refuses_roots && progress.root_requests == 0;
   const bool is_near_deadline =
@@ -47,4 +51,26 @@
   state.ended |= answered || progress.elapsed >= deadline;
 }
 
+absl::Duration TimeUntilEnd(const ShutdownState& state, absl::Time now) {
+  return state.started_at + LatestEnd(state.settings) - now;
+}
+
+// A call that is still running when the process ends is lost to its caller, and
+// cannot be repeated if it is not idempotent. A mean or a maximum over all
+// routes says nothing about a route that was not called lately, so such a call
+// is taken only if its time limit is over before the end.
+bool FitsBeforeEnd(const ShutdownState& state,
+                   const CallTimeBounds& call,
+                   absl::Time now) {
+  if (!state.refuses_roots) {
+    return true;
+  }
+  const ShutdownSettings& settings = state.settings;
+  const absl::Duration expected =
+      std::max(settings.min_reserved_time,
+               call.longest_recent * settings.reserved_longest_times);
+  return std::min(call.limit, expected) + settings.final_answer_period <=
+         TimeUntilEnd(state, now);
+}
+
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/shutdown_state.h
+++ b/src/boragepaddle/proxy/shutdown_state.h
@@ -18,7 +18,8 @@
   absl::Duration margin = absl::Milliseconds(300);
   /// Calls for the worker are accepted until this multiple of the mean call
   /// time remains, within the limits below, and this multiple of the longest
-  /// recent call.
+  /// recent call. A call whose route is known by enough recent calls needs that
+  /// multiple of the longest of these.
   double reserved_mean_times = 4;
   absl::Duration min_reserved_time = absl::Milliseconds(300);
   absl::Duration max_reserved_time = absl::Seconds(2);
@@ -44,10 +45,20 @@
   absl::Duration longest_call_time;
 };
 
+/// Time that a call needs, as far as it is known.
+struct CallTimeBounds {
+  /// Time after which its sender gives up.
+  absl::Duration limit;
+  /// Longest time of the recent calls of its route; infinite if unknown.
+  absl::Duration longest_recent;
+};
+
 /// State of a graceful shutdown. Decisions are not reverted, except for
 /// `drained`.
 struct ShutdownState {
   ShutdownSettings settings;
+  /// Infinite future while the process is not asked to stop.
+  absl::Time started_at = absl::InfiniteFuture();
   /// New root requests are refused; calls of the local worker are not, since
   /// its running requests depend on them.
   bool refuses_roots = false;
@@ -62,6 +73,15 @@
 /// Updates the state; called periodically during the shutdown.
 void Advance(ShutdownState& state, const ShutdownProgress& progress);
 
+/// Time until the process ends at the latest.
+absl::Duration TimeUntilEnd(const ShutdownState& state, absl::Time now);
+
+/// True if a call that starts now is expected to complete before the process
+/// ends. Always true until new root requests are refused.
+bool FitsBeforeEnd(const ShutdownState& state,
+                   const CallTimeBounds& call,
+                   absl::Time now);
+
 }  // namespace boragepaddle::proxy
 
 #endif  // BORAGEPADDLE_PROXY_SHUTDOWN_STATE_H_
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -79,6 +79,7 @@
 WorkerProxy::WorkerProxy(const NodeSettings& settings,
                          const HttpDialect& dialect,
                          StoreState& store,
+                         const ShutdownState& shutdown,
                          event::WorkerConnectionPool& pool,
                          telemetry::EventLog& log,
                          telemetry::RequestMetrics& metrics,
@@ -86,6 +87,7 @@
     : settings(settings),
       dialect(dialect),
       store(store),
+      shutdown(shutdown),
       pool(pool),
       log(log),
       metrics(metrics),
@@ -129,8 +131,25 @@
   }
 }
 
+std::string WorkerProxy::RouteOf(const schema::HttpCall& call) const {
+  if (this->store.routes == nullptr) {
+    return "";
+  }
+  const catalog::Route* route = catalog::FindRoute(
+      *this->store.routes, event::FieldValue(call.fields, "Host"), call.target);
+  return route == nullptr ? "" : route->name;
+}
+
+bool WorkerProxy::FitsBeforeEnd(const Call& call, absl::Time now) const {
+  CallTimeBounds bounds;
+  bounds.limit = call.deadline - now;
+  bounds.longest_recent = admission::LongestCallTime(
+      this->route_times, call.route, call.message.service, now);
+  return proxy::FitsBeforeEnd(this->shutdown, bounds, now);
+}
+
 Reason WorkerProxy::CheckCall(const Call& call, absl::Time now) const {
-  if (this->refuses_calls) {
+  if (this->shutdown.refuses_calls || !this->FitsBeforeEnd(call, now)) {
     return Reason::kLeaving;
   }
   if (quarantine::DecideAdmission(this->quarantine, call.fingerprint, now) ==
@@ -161,6 +180,7 @@
   call.message = std::move(message);
   call.body = std::move(body);
   call.fingerprint = Fingerprint(call.message, call.body);
+  call.route = this->RouteOf(call.message);
   call.reply = std::move(reply);
   call.arrived = now;
   call.deadline = now + absl::Microseconds(call.message.time_left_us);
@@ -250,7 +270,7 @@
   if (found != this->calls.end()) {
     this->RecordCallEnd(found->second.fingerprint, result.outcome, now);
     this->ApplyWorkerFields(found->second, result, now);
-    admission::Record(this->call_times, now - found->second.started_at, now);
+    this->RecordCallTime(found->second, result, now);
   }
   const bool completed = result.outcome == event::WorkerOutcome::kAnswered;
   this->ApplyDecisions(
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -13,12 +13,14 @@
 #include "absl/types/optional.h"
 #include "absl/types/span.h"
 #include "boragepaddle/admission/admission_rate.h"
+#include "boragepaddle/admission/call_times.h"
 #include "boragepaddle/admission/recent_maximum.h"
 #include "boragepaddle/admission/worker_limiter.h"
 #include "boragepaddle/event/worker_connection_pool.h"
 #include "boragepaddle/proxy/capacity_refusal.h"
 #include "boragepaddle/proxy/dialect.h"
 #include "boragepaddle/proxy/node_settings.h"
+#include "boragepaddle/proxy/shutdown_state.h"
 #include "boragepaddle/proxy/store_state.h"
 #include "boragepaddle/quarantine/crash_detector.h"
 #include "boragepaddle/quarantine/quarantine.h"
@@ -54,6 +56,7 @@
   WorkerProxy(const NodeSettings& settings,
               const HttpDialect& dialect,
               StoreState& store,
+              const ShutdownState& shutdown,
               event::WorkerConnectionPool& pool,
               telemetry::EventLog& log,
               telemetry::RequestMetrics& metrics,
@@ -79,8 +82,6 @@
   /// Reports to other nodes that no more calls are wanted; calls that still
   /// arrive are accepted.
   void StartDraining() { this->draining = true; }
-  /// Refuses new calls.
-  void StopAccepting() { this->refuses_calls = true; }
 
   /// Returns the request if it is running at the worker.
   absl::optional<ParentCall> FindRunning(absl::string_view request_id) const;
@@ -123,6 +124,8 @@
     event::SharedBody body;
     /// Identifies the request in all its attempts.
     uint64_t fingerprint = 0;
+    /// Name of its route; empty if this node does not know it.
+    std::string route;
     Reply reply;
     absl::Time arrived;
     absl::Time started_at;
@@ -139,6 +142,10 @@
   };
 
   const catalog::WorkerEntry* LocalWorker() const;
+  /// Name of the route of the call; empty without one.
+  std::string RouteOf(const schema::HttpCall& call) const;
+  /// True if the call can complete before this process ends.
+  bool FitsBeforeEnd(const Call& call, absl::Time now) const;
   schema::Reason CheckCall(const Call& call, absl::Time now) const;
   /// Advances a due check for a crash of the worker, and repeats the reports of
   /// rejected requests for nodes that missed them.
@@ -155,6 +162,10 @@
   void SetRateLimit(uint32_t rate_limit, absl::Time now);
   /// Records the load figures of an answer; invalid ones are counted.
   void RecordWorkerLoad(absl::string_view figures, absl::Time now);
+  /// Records the time of a call that ended at the worker.
+  void RecordCallTime(const Call& call,
+                      const event::WorkerResult& result,
+                      absl::Time now);
   /// Updates what is known of crashes by the end of a call at the worker.
   void RecordCallEnd(uint64_t fingerprint,
                      event::WorkerOutcome outcome,
@@ -174,6 +185,7 @@
   const NodeSettings& settings;
   const HttpDialect& dialect;
   StoreState& store;
+  const ShutdownState& shutdown;
   event::WorkerConnectionPool& pool;
   telemetry::EventLog& log;
   telemetry::RequestMetrics& metrics;
@@ -183,6 +195,8 @@
   absl::Time crashes_reported_at = absl::InfinitePast();
   admission::WorkerLimiter limiter;
   admission::RecentMaximum call_times;
+  /// Times from arrival to answer, by route.
+  admission::CallTimes route_times;
   /// Instance that the rate limit belongs to, and whether the worker has
   /// answered this process.
   std::string rate_limited_instance;
@@ -198,7 +212,6 @@
   absl::flat_hash_map<std::string, uint64_t> running;
   uint64_t next_id = 1;
   bool draining = false;
-  bool refuses_calls = false;
 };
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -27,6 +27,9 @@
 /// that refuses it.
 constexpr absl::Duration kCrashProbeTimeout = absl::Milliseconds(500);
 
+/// Statuses from this one on are failures of the worker.
+constexpr uint32_t kFirstFailureStatus = 500;
+
 /// Limit on the length of invalid load figures in the log.
 constexpr size_t kMaxLoggedFigures = 40;
 
@@ -91,6 +94,18 @@
   }
 }
 
+// A call that failed early says nothing about the time that its route needs.
+void WorkerProxy::RecordCallTime(const Call& call,
+                                 const event::WorkerResult& result,
+                                 absl::Time now) {
+  admission::Record(this->call_times, now - call.started_at, now);
+  if (result.outcome == event::WorkerOutcome::kAnswered &&
+      result.status < kFirstFailureStatus && !call.nested_failed) {
+    admission::RecordCallTime(this->route_times, call.route,
+                              call.message.service, now - call.arrived, now);
+  }
+}
+
 void WorkerProxy::RecordCallEnd(uint64_t fingerprint,
                                 event::WorkerOutcome outcome,
                                 absl::Time now) {
--- a/tests/integration/stop_on_platform_test.py
+++ b/tests/integration/stop_on_platform_test.py
@@ -86,5 +86,83 @@
                             for sent_at, path, status in answers))
 
 
+ROUTES_WITH_CALLS = [dict(WRITE, name="audit", prefix="/audit/", timeout_s=3, service="s2"),
+                     dict(LONG, route_type="idempotent")]
+ROUTES_WITH_CALLS += [dict(WRITE, name=name, prefix="/%s/" % name, route_type="idempotent", timeout_s=5)
+                      for name in ("report", "statement")]
+AUDIT_S = 1.0
+AUDIT_LIMIT_MS = 1500
+REQUEST_LIMIT_MS = 4500
+# Work of a request before its call. Statements are accepted early in the grace period and make their call late.
+WORK_S = {"/report/x": 1.2, "/statement/x": 2.6}
+FIRST_STATEMENT_S = 2.1
+FIRST_REPORT_S = 3.8
+REQUEST_INTERVAL_S = 0.05
+REQUESTS = {"/statement/x": 8, "/report/x": 36}
+
+
+class CallingWorker(MixedWorker):
+    """Worker whose requests make one call through the node of its VM."""
+
+    def __init__(self, *arguments, **named):
+        super().__init__(*arguments, **named)
+        # (path of the request, status) of each call; status 0 without an answer.
+        self.calls = []
+
+    def work(self, handler, attempt):
+        if handler.path == "/audit/x":
+            time.sleep(AUDIT_S)
+            return 200
+        if handler.path not in WORK_S:
+            return super().work(handler, attempt)
+        time.sleep(WORK_S[handler.path])
+        try:
+            status = self.node.call("/audit/x", "POST", attempt + ".1", {"Deadline-Ms": str(AUDIT_LIMIT_MS)})[0]
+        except (OSError, http.client.HTTPException):
+            status = 0
+        self.calls.append((handler.path, status))
+        return 200 if status == 200 else 500
+
+
+class CallsInStopTest(unittest.TestCase):
+    def test_calls_of_the_worker_are_not_cut_at_the_end_of_a_stop(self):
+        """Guards against calls that a stopping node sends on although it ends before they do: they run, and their
+        callers get no answer."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        store = FakeStore("127.0.5.3")
+        workers = [CallingWorker("127.0.5.%d" % (index + 3), service, "i-%d" % index, slots=60)
+                   for index, service in enumerate(("s1", "s2"))]
+        nodes = start_fleet(self, folder.name, store, workers, ROUTES_WITH_CALLS)
+        workers[0].node = nodes[0]
+        answers = []
+
+        def send(node, at, path):
+            time.sleep(max(0, at - time.monotonic()))
+            try:
+                answers.append((path, node.call(path, fields={"Deadline-Ms": str(REQUEST_LIMIT_MS)})[0]))
+            except (OSError, http.client.HTTPException):
+                answers.append((path, 0))
+
+        process = nodes[0].process.popen
+        stopped_at = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        # Keeps the stopping node until the end of its grace period.
+        threads = [threading.Thread(target=send, args=(nodes[0], stopped_at + LAST_ROOT_S, "/long/x"))]
+        for path, first_s in (("/statement/x", FIRST_STATEMENT_S), ("/report/x", FIRST_REPORT_S)):
+            threads += [threading.Thread(target=send, args=(
+                nodes[1], stopped_at + first_s + index * REQUEST_INTERVAL_S, path)) for index in range(REQUESTS[path])]
+        for thread in threads:
+            thread.start()
+        process.wait(GRACE_S + 1)
+        lived_s = time.monotonic() - stopped_at
+        for thread in threads:
+            thread.join()
+        self.assertGreater(lived_s, GRACE_S - 1)
+        calls = list(workers[0].calls)
+        self.assertTrue(any(path == "/statement/x" for path, _ in calls), "no statement made its call")
+        self.assertEqual([call for call in calls if call[1] not in (200, 503)], [], "of %d" % len(calls))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/platform_path/shutdown_state_test.cc
+++ b/tests/unit/platform_path/shutdown_state_test.cc
@@ -104,5 +104,42 @@
   CHECK(state.refuses_calls);
 }
 
+// Guards against calls that are cut at the end of a planned stop because their
+// route was not called lately, so that no recent time covers them.
+TEST_CASE("stop: a call of an unknown duration needs its whole time limit") {
+  const absl::Time started = absl::UnixEpoch();
+  ShutdownState state;
+  state.started_at = started;
+  CallTimeBounds call;
+  call.limit = absl::Seconds(30);
+  call.longest_recent = absl::InfiniteDuration();
+  CHECK(FitsBeforeEnd(state, call, started + absl::Milliseconds(5600)));
+
+  state.refuses_roots = true;
+  CHECK_FALSE(FitsBeforeEnd(state, call, started + absl::Milliseconds(2600)));
+  // The process ends after 5.7 s, and the answer takes up to 0.06 s.
+  call.limit = absl::Milliseconds(1500);
+  CHECK(FitsBeforeEnd(state, call, started + absl::Milliseconds(4140)));
+  CHECK_FALSE(FitsBeforeEnd(state, call, started + absl::Milliseconds(4150)));
+}
+
+// Guards against calls of the local worker that are refused although they would
+// complete, which fails the requests that make them.
+TEST_CASE("stop: a call of a known route needs its longest recent time") {
+  const absl::Time started = absl::UnixEpoch();
+  ShutdownState state;
+  state.started_at = started;
+  state.refuses_roots = true;
+  CallTimeBounds call;
+  call.limit = absl::Seconds(30);
+  call.longest_recent = absl::Seconds(1);
+  CHECK(FitsBeforeEnd(state, call, started + absl::Milliseconds(4390)));
+  CHECK_FALSE(FitsBeforeEnd(state, call, started + absl::Milliseconds(4400)));
+  // Not less than the minimum.
+  call.longest_recent = absl::Milliseconds(1);
+  CHECK(FitsBeforeEnd(state, call, started + absl::Milliseconds(5340)));
+  CHECK_FALSE(FitsBeforeEnd(state, call, started + absl::Milliseconds(5350)));
+}
+
 }  // namespace
 }  // namespace boragepaddle::proxy
