Notice a close behind unread requests

Workers went on with requests whose client had left, and requests that it had sent ahead reached workers later (GONE), if it had sent more than the eight that are read at a time.

Cause: a close was noticed by waiting for input. A connection that may not read more waits for nothing while there is unread input, since such a wait would end at once.

A connection that leaves input unread now asks the kernel at each tick whether its peer has closed.

--- a/src/boragepaddle/event/server_connection.cc
+++ b/src/boragepaddle/event/server_connection.cc
@@ -241,13 +241,16 @@
   this->ResumeReading();
 }
 
+bool ServerConnection::all_answered() const {
+  return absl::c_all_of(this->responses, [](const PendingResponse& pending) {
+    return pending.reply.has_value();
+  });
+}
+
 // A client that has closed gets what was answered before, but none of its
 // requests goes on.
 void ServerConnection::OnClientClosed() {
-  const bool all_answered = absl::c_all_of(
-      this->responses,
-      [](const PendingResponse& pending) { return pending.reply.has_value(); });
-  if (this->responses.empty() || !all_answered) {
+  if (this->responses.empty() || !this->all_answered()) {
     this->Abort();
     return;
   }
@@ -351,6 +354,11 @@
     this->Abort();
     return;
   }
+  if (this->leaves_input_unread && !this->all_answered() &&
+      HasPeerClosed(this->socket)) {
+    this->Abort();
+    return;
+  }
   if (!this->MayRead()) {
     return;
   }
--- a/src/boragepaddle/event/server_connection.h
+++ b/src/boragepaddle/event/server_connection.h
@@ -61,6 +61,8 @@
   };
 
   bool MayRead() const;
+  /// True if no request is running.
+  bool all_answered() const;
   /// Bytes that are held for the request that is being read.
   uint64_t held_bytes() const {
     return this->reader.held_bytes() + this->unparsed_memory.bytes();
@@ -108,6 +110,8 @@
   std::vector<PendingResponse> responses;
   uint64_t last_number = 0;
   bool waiting_for_input = false;
+  /// Input is left in the socket, so that a close behind it ends no wait.
+  bool leaves_input_unread = false;
   bool parsing = false;
   bool continue_sent = false;
   /// No further request is read.
--- a/src/boragepaddle/event/server_connection_reading.cc
+++ b/src/boragepaddle/event/server_connection_reading.cc
@@ -29,6 +29,7 @@
 // buffer is bound to a connection that sends nothing. A close is detected the
 // same way, unless input that was sent before it has not been read yet.
 void ServerConnection::WaitForInput() {
+  this->leaves_input_unread = false;
   if (this->closed || this->waiting_for_input) {
     return;
   }
@@ -65,7 +66,9 @@
       this->WaitForInput();
       break;
     case SocketState::kData:
-      // Read once the first request is answered.
+      // Read once the first request is answered. A wait would end at once, so
+      // Tick looks for a close behind this input.
+      this->leaves_input_unread = true;
       break;
   }
 }
--- a/src/boragepaddle/event/socket_options.cc
+++ b/src/boragepaddle/event/socket_options.cc
@@ -1,6 +1,7 @@
 #include "boragepaddle/event/socket_options.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address.hpp>
@@ -72,4 +73,9 @@
   return nothing ? SocketState::kNoData : SocketState::kClosed;
 }
 
+bool HasPeerClosed(Tcp::socket& socket) {
+  pollfd entry{socket.native_handle(), POLLRDHUP, 0};
+  return poll(&entry, 1, /*timeout=*/0) > 0;
+}
+
 }  // namespace boragepaddle::event
--- a/src/boragepaddle/event/socket_options.h
+++ b/src/boragepaddle/event/socket_options.h
@@ -30,6 +30,10 @@
 /// Reports the state of the receive buffer without consuming data.
 SocketState PeekSocket(Tcp::socket& socket);
 
+/// True if the peer has closed its sending side or reset the connection, also
+/// if data that it sent before has not been read.
+bool HasPeerClosed(Tcp::socket& socket);
+
 }  // namespace boragepaddle::event
 
 #endif  // BORAGEPADDLE_EVENT_SOCKET_OPTIONS_H_
