Do not take a response that a reset cuts for a whole one

Cause: the kernel reports a reset to one operation only. While the request was being written, the write took the error, and the read saw an end of the stream, which is the regular end of a response without a length.

Such a response now counts only if its request was written. If the stream ends during the write, the end of the write decides, since a worker may answer early, close its side and read the rest. A rejection in the head holds in any case.

--- a/src/boragepaddle/event/worker_connection.cc
+++ b/src/boragepaddle/event/worker_connection.cc
@@ -104,6 +104,7 @@
   this->done = std::move(done);
   this->sent_any = false;
   this->written = false;
+  this->ended_while_sending = false;
   this->skipped_responses = 0;
   this->interim_responses = 0;
   this->request.emplace();
@@ -154,9 +155,11 @@
   http::async_write(this->socket, *this->request,
                     [self](const boost::system::error_code& error, size_t) {
                       self->sending = false;
-                      // A write error also makes the pending read fail.
                       self->written = !error;
                       self->ReleaseRequestBody();
+                      if (self->ended_while_sending && !self->closed) {
+                        self->OnAnswer();
+                      }
                     });
   this->Read();
 }
@@ -234,6 +237,16 @@
   this->OnAnswer();
 }
 
+// A reset fails whichever operation meets it first. If that is the write, the
+// read sees an end of the stream instead, which looks like the end of a
+// response without a length.
+WorkerConnection::BodyEnd WorkerConnection::CheckBodyEnd() const {
+  if (!this->parser->need_eof() || this->written) {
+    return BodyEnd::kComplete;
+  }
+  return this->sending ? BodyEnd::kUndecided : BodyEnd::kTruncated;
+}
+
 bool WorkerConnection::HasSent(absl::string_view id) const {
   return this->recent_request_ids.contains(id) ||
          this->older_request_ids.contains(id);
@@ -281,6 +294,17 @@
                  /*reusable=*/false);
     return;
   }
+  // The head of a rejection says all that matters.
+  const BodyEnd body_end = not_run ? BodyEnd::kComplete : this->CheckBodyEnd();
+  if (body_end == BodyEnd::kUndecided) {
+    this->ended_while_sending = true;
+    return;
+  }
+  if (body_end == BodyEnd::kTruncated) {
+    this->Finish(Failure(WorkerOutcome::kConnectionLost),
+                 /*reusable=*/false);
+    return;
+  }
   const size_t body_bytes = message.body().size();
   if (body_bytes > kMaxWholeBodyBytes &&
       !this->reservation.Resize(body_bytes)) {
--- a/src/boragepaddle/event/worker_connection.h
+++ b/src/boragepaddle/event/worker_connection.h
@@ -50,6 +50,8 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  enum class BodyEnd : uint8_t { kComplete, kTruncated, kUndecided };
+
   void Connect();
   void Write();
   void Read();
@@ -60,6 +62,8 @@
   /// Frees the request body once it is written.
   void ReleaseRequestBody();
   void OnRead(const boost::system::error_code& error);
+  /// Whether the end of the stream may be the end of the response.
+  BodyEnd CheckBodyEnd() const;
   void OnAnswer();
   void Finish(WorkerResult result, bool reusable);
   void RememberRequest();
@@ -85,6 +89,9 @@
   bool sending = false;
   bool sent_any = false;
   bool written = false;
+  /// The stream ended behind a response without a length while the request was
+  /// being sent; the end of that write decides whether the response is whole.
+  bool ended_while_sending = false;
   bool closed = false;
   bool is_idle = false;
   uint32_t skipped_responses = 0;
--- a/tests/unit/platform_path/scripted_worker.h
+++ b/tests/unit/platform_path/scripted_worker.h
@@ -46,8 +46,16 @@
   int connections = 0;
   /// All requests have the same id.
   bool same_id = false;
+  /// Body of all requests.
+  std::string request_body;
   /// Closes the connection after each script.
   bool closes = false;
+  /// Resets the connection this long after each script, without having read the
+  /// body of the request; negative for never.
+  std::chrono::milliseconds resets_after{-1};
+  /// Ends its side of the connection after each script, then reads the body of
+  /// the request.
+  bool reads_late = false;
   /// Scripts are written in two parts, the first of this size.
   size_t first_part = 0;
 
@@ -69,6 +77,7 @@
       request.method = "GET";
       request.target = "/";
       request.host = "h";
+      request.body = this->request_body;
       pool.Send(results.size() + 1, request, [&](WorkerResult result) {
         results.push_back(std::move(result));
         next();
@@ -143,6 +152,16 @@
             boost::asio::buffer(text.data() + first, text.size() - first),
             error);
         this->WriteOn(socket, script);
+        if (this->resets_after.count() >= 0) {
+          std::this_thread::sleep_for(this->resets_after);
+          socket.set_option(boost::asio::socket_base::linger(true, 0));
+          break;
+        }
+        if (this->reads_late) {
+          socket.shutdown(Tcp::socket::shutdown_send);
+          std::vector<char> body(this->request_body.size());
+          boost::asio::read(socket, boost::asio::buffer(body), error);
+        }
         if (this->closes || absl::StrContains(text, "close")) {
           break;
         }
--- a/tests/unit/platform_path/worker_trouble_test.cc
+++ b/tests/unit/platform_path/worker_trouble_test.cc
@@ -173,6 +173,44 @@
   }
 }
 
+// Guards against a part of a body that is passed on as a whole answer: the
+// failed write of the request hid the reset, so that the body seemed to end.
+TEST_CASE(
+    "A response that is reset while its request is written is no answer") {
+  for (int delay = 0; delay < 20; ++delay) {
+    ScriptedWorker worker;
+    worker.request_body = std::string(16 * kMegabyte, 'x');
+    worker.resets_after = std::chrono::milliseconds(delay);
+    worker.scripts = {"HTTP/1.1 200 OK\r\nId: r0\r\n\r\npart"};
+    const auto results = worker.Run(1);
+    CAPTURE(delay);
+    CHECK(results[0].outcome == WorkerOutcome::kConnectionLost);
+  }
+}
+
+// Guards against whole answers that are lost: a worker may answer before it has
+// read the request, close its side and read the rest then.
+TEST_CASE("A response that ends before its request is written is an answer") {
+  ScriptedWorker worker;
+  worker.request_body = std::string(16 * kMegabyte, 'x');
+  worker.reads_late = true;
+  worker.closes = true;
+  worker.scripts = {"HTTP/1.1 200 OK\r\nId: r0\r\n\r\nwhole"};
+  const auto results = worker.Run(1);
+  CHECK(results[0].outcome == WorkerOutcome::kAnswered);
+  CHECK(results[0].body == "whole");
+}
+
+// Guards against "may have run" for a request that the worker rejected.
+TEST_CASE("A rejection holds although the connection is reset behind it") {
+  ScriptedWorker worker;
+  worker.request_body = std::string(16 * kMegabyte, 'x');
+  worker.resets_after = std::chrono::milliseconds(5);
+  worker.scripts = {"HTTP/1.1 503 Busy\r\nId: r0\r\nNot-Run: 1\r\n\r\n"};
+  const auto results = worker.Run(1);
+  CHECK(results[0].outcome == WorkerOutcome::kNotRun);
+}
+
 TEST_CASE("An endless chunked body is aborted") {
   ScriptedWorker worker;
   worker.max_held = kMegabyte;
