Refuse answers of workers with a status above 599

Cause: the status of a final response was checked from below only.

The new test of ten invalid statuses failed before for 600 and 999 and passes; a test of 13 invalid field lines passed before and stays as a guard.

--- a/src/boragepaddle/event/worker_connection.cc
+++ b/src/boragepaddle/event/worker_connection.cc
@@ -29,8 +29,9 @@
 /// Limit on interim responses (1xx) to one request.
 constexpr uint32_t kMaxInterimResponses = 16;
 
-/// Lower statuses are no final responses.
+/// Range of the statuses of final responses.
 constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxFinalStatus = 599;
 
 /// At least this many ids of previous requests are remembered.
 constexpr size_t kMinRememberedRequestIds = 1024;
@@ -289,6 +290,7 @@
   const bool mismatched = echoed_id != this->request_id &&
                           !(is_unnamed_rejection && is_first_request);
   if (mismatched || message.result_int() < kMinFinalStatus ||
+      message.result_int() > kMaxFinalStatus ||
       message.count(http::field::content_encoding) > 0) {
     this->Finish(Failure(WorkerOutcome::kInvalidResponse),
                  /*reusable=*/false);
--- a/tests/unit/platform_path/worker_trouble_test.cc
+++ b/tests/unit/platform_path/worker_trouble_test.cc
@@ -5,6 +5,7 @@
 #include <cstring>
 
 #include "boragepaddle/event/http_get_client.h"
+#include "tests/unit/invalid_heads.h"
 #include "tests/unit/platform_path/scripted_worker.h"
 
 namespace boragepaddle::event {
@@ -131,6 +132,33 @@
   CHECK(worker.endless_bytes < 16 * kMegabyte);
 }
 
+// Guards against a client that gets a status that HTTP does not have.
+TEST_CASE("A response with an invalid status is no answer") {
+  for (const std::string& status : InvalidStatuses()) {
+    ScriptedWorker worker;
+    worker.closes = true;
+    worker.scripts = {"HTTP/1.1 " + status +
+                      " X\r\nId: r0\r\nContent-Length: 1\r\n\r\nb"};
+    const auto results = worker.Run(1);
+    CAPTURE(status);
+    CHECK(results[0].outcome == WorkerOutcome::kInvalidResponse);
+  }
+}
+
+// Guards against a client that gets such a line, or a body whose length was
+// stated in it.
+TEST_CASE("A response with an invalid field name is no answer") {
+  for (const std::string& line : InvalidFieldLines()) {
+    ScriptedWorker worker;
+    worker.closes = true;
+    worker.scripts = {"HTTP/1.1 200 OK\r\nId: r0\r\n" + line +
+                      "\r\nContent-Length: 1\r\n\r\nb"};
+    const auto results = worker.Run(1);
+    CAPTURE(line);
+    CHECK(results[0].outcome == WorkerOutcome::kInvalidResponse);
+  }
+}
+
 /// A response and the number of its bytes without which it is incomplete.
 struct FramedResponse {
   std::string text;
