Read answers of workers strictly in the own interface

An answer whose status was 000, or whose head had a field name with a blank or a control byte, was taken; a length in such a line was ignored, so that the body was not the worker's (MIXED).

Cause: cpp-httplib takes any three digits as a status and skips header lines that it cannot read.

Answers are now read by Beast's parser in a blocking connection of the transport layer, as the sidecar reads them. The caller library uses it too.

--- a/src/boragepaddle/caller/entry_client.cc
+++ b/src/boragepaddle/caller/entry_client.cc
@@ -1,7 +1,5 @@
 #include "boragepaddle/caller/entry_client.h"
 
-#include <httplib.h>
-
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -28,6 +26,13 @@
           result.reason == Reason::kUnknownService);
 }
 
+transport::HttpClientPoolSettings PoolSettings() {
+  transport::HttpClientPoolSettings settings;
+  settings.connection.connect_timeout = kConnectTimeout;
+  settings.max_idle = kMaxIdle;
+  return settings;
+}
+
 SendResult Ended(Outcome outcome, Reason reason) {
   SendResult sent;
   sent.result.outcome = outcome;
@@ -35,33 +40,39 @@
   return sent;
 }
 
+std::string HeaderValue(const transport::HttpResponse& response,
+                        absl::string_view name) {
+  const std::string* value = transport::FindHeader(response, name);
+  return value == nullptr ? "" : *value;
+}
+
 template <typename Enum>
-bool ReadEnum(const httplib::Response& response,
+bool ReadEnum(const transport::HttpResponse& response,
               const char* header,
               Enum* value) {
-  return schema::FromString(response.get_header_value(header), value);
+  return schema::FromString(HeaderValue(response, header), value);
 }
 
 /// Reads an answer; ends unknown if it is not a whole answer to the request.
-SendResult ReadAnswer(const httplib::Response& response,
+SendResult ReadAnswer(transport::HttpResponse& response,
                       const SendRequest& request) {
   SendResult sent;
   CallResult& result = sent.result;
   const bool valid =
-      response.has_header("Content-Length") &&
+      transport::FindHeader(response, "Content-Length") != nullptr &&
       ReadEnum(response, "Boragepaddle-Outcome", &result.outcome) &&
       ReadEnum(response, "Boragepaddle-Reason", &result.reason);
-  const bool own = response.get_header_value("Boragepaddle-Request-Id") ==
-                   request.request_id;
+  const bool own =
+      HeaderValue(response, "Boragepaddle-Request-Id") == request.request_id;
   if (!valid || (!own && !IsEarlyRefusal(result))) {
     return Ended(Outcome::kUnknown, Reason::kConnectionLost);
   }
   if (result.reason == Reason::kTicketNeeded) {
-    sent.ticket = response.get_header_value("Boragepaddle-Ticket");
+    sent.ticket = HeaderValue(response, "Boragepaddle-Ticket");
   }
-  result.status = static_cast<uint32_t>(response.status);
-  result.content_type = response.get_header_value("Content-Type");
-  result.body = response.body;
+  result.status = response.status;
+  result.content_type = HeaderValue(response, "Content-Type");
+  result.body = std::move(response.body);
   return sent;
 }
 
@@ -69,32 +80,30 @@
 
 class EntryClient::Impl {
  public:
-  explicit Impl(absl::string_view address)
-      : pool(address, {kConnectTimeout, kMaxIdle}) {}
+  explicit Impl(absl::string_view address) : pool(address, PoolSettings()) {}
 
   SendResult Send(const SendRequest& request) {
-    std::unique_ptr<httplib::Client> client = this->pool.Take();
-    client->set_read_timeout(
-        absl::ToChronoMicroseconds(request.left + kAnswerMargin));
-    httplib::Headers headers = {
+    std::unique_ptr<transport::HttpClientConnection> connection =
+        this->pool.Take();
+    std::vector<transport::HttpHeader> headers = {
         {"Boragepaddle-Request-Id", request.request_id},
         {"Boragepaddle-Deadline-Ms",
          absl::StrCat(absl::ToInt64Milliseconds(request.left))}};
     if (!request.ticket.empty()) {
-      headers.emplace("Boragepaddle-Ticket", request.ticket);
+      headers.push_back({"Boragepaddle-Ticket", request.ticket});
+    }
+    transport::HttpResponse response = connection->Post(
+        request.path, headers, request.body, request.left + kAnswerMargin);
+    if (response.failure == transport::HttpFailure::kNotConnected) {
+      return Ended(Outcome::kNotRun, Reason::kNoUpstream);
     }
-    const httplib::Result answer =
-        client->Post(request.path, headers, std::string(request.body),
-                     "application/octet-stream");
-    if (!answer) {
-      const bool sent = answer.error() != httplib::Error::Connection;
-      return sent ? Ended(Outcome::kUnknown, Reason::kConnectionLost)
-                  : Ended(Outcome::kNotRun, Reason::kNoUpstream);
+    if (response.failure != transport::HttpFailure::kNone) {
+      return Ended(Outcome::kUnknown, Reason::kConnectionLost);
     }
-    SendResult result = ReadAnswer(answer.value(), request);
+    SendResult result = ReadAnswer(response, request);
     // After an answer of another request the connection is out of step.
     if (result.result.outcome != Outcome::kUnknown) {
-      this->pool.Keep(std::move(client));
+      this->pool.Keep(std::move(connection));
     }
     return result;
   }
--- a/src/boragepaddle/transport/http_client_pool.h
+++ b/src/boragepaddle/transport/http_client_pool.h
@@ -1,8 +1,6 @@
 #ifndef BORAGEPADDLE_TRANSPORT_HTTP_CLIENT_POOL_H_
 #define BORAGEPADDLE_TRANSPORT_HTTP_CLIENT_POOL_H_
 
-#include <httplib.h>
-
 #include <memory>
 #include <string>
 #include <vector>
@@ -11,17 +9,18 @@
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "boragepaddle/transport/http_client_connection.h"
 
 namespace boragepaddle::transport {
 
 /// Settings of an HttpClientPool.
 struct HttpClientPoolSettings {
-  absl::Duration connect_timeout = absl::Seconds(1);
+  HttpClientSettings connection;
   /// Connections that have been idle for longer are not reused.
   absl::Duration max_idle = absl::Seconds(3);
 };
 
-/// Pool of keep-alive connections to one HTTP server. A client that is not
+/// Pool of keep-alive connections to one HTTP server. A connection that is not
 /// returned to the pool is closed when its owner destroys it.
 class HttpClientPool {
  public:
@@ -29,22 +28,22 @@
   HttpClientPool(absl::string_view address,
                  const HttpClientPoolSettings& settings);
 
-  /// Returns the most recently used idle client, or a new one.
-  std::unique_ptr<httplib::Client> Take();
+  /// Returns the most recently used idle connection, or a new one.
+  std::unique_ptr<HttpClientConnection> Take();
 
-  /// Returns a client to the pool. Its last response must be complete.
-  void Keep(std::unique_ptr<httplib::Client> client);
+  /// Returns a connection to the pool, which closes it unless it is reusable.
+  void Keep(std::unique_ptr<HttpClientConnection> connection);
 
  private:
-  struct KeptClient {
-    std::unique_ptr<httplib::Client> client;
+  struct KeptConnection {
+    std::unique_ptr<HttpClientConnection> connection;
     absl::Time last_used;
   };
 
-  const std::string url;
+  const std::string address;
   const HttpClientPoolSettings settings;
   absl::Mutex mutex;
-  std::vector<KeptClient> kept ABSL_GUARDED_BY(mutex);
+  std::vector<KeptConnection> kept ABSL_GUARDED_BY(mutex);
 };
 
 }  // namespace boragepaddle::transport
--- a/src/boragepaddle/transport/worker_client.cc
+++ b/src/boragepaddle/transport/worker_client.cc
@@ -1,10 +1,7 @@
 #include "boragepaddle/transport/worker_client.h"
 
-#include <httplib.h>
-
 #include <utility>
 
-#include "boragepaddle/transport/clock.h"
 #include "boragepaddle/transport/http_client_pool.h"
 
 namespace boragepaddle::transport {
@@ -19,65 +16,46 @@
 constexpr absl::Duration kMaxIdle = absl::Seconds(3);
 constexpr absl::Duration kConnectTimeout = absl::Seconds(1);
 
-// cpp-httplib truncates poll timeouts to whole milliseconds, so that they
-// expire up to 1 ms early. A timeout that is mistaken for a broken connection
-// would mark the request as a crash suspect.
-constexpr absl::Duration kTimeoutSlack = absl::Milliseconds(2);
-
-// Without Content-Length or chunked encoding, a truncated body cannot be told
-// from a complete one.
-bool HasDelimitedBody(const httplib::Response& response) {
-  return response.has_header("Content-Length") ||
-         response.get_header_value("Transfer-Encoding") == "chunked" ||
-         response.status == 204;
+HttpClientPoolSettings PoolSettings() {
+  HttpClientPoolSettings settings;
+  settings.connection.connect_timeout = kConnectTimeout;
+  settings.max_idle = kMaxIdle;
+  return settings;
 }
 
-WorkerAnswer FromFailure(httplib::Error error, bool expired) {
-  WorkerAnswer answer;
-  if (error == httplib::Error::Connection ||
-      error == httplib::Error::BindIPAddress) {
-    answer.end = WorkerCallEnd::kNotSent;
-  } else {
-    answer.end = expired ? WorkerCallEnd::kTimeout : WorkerCallEnd::kBroken;
+WorkerCallEnd EndOf(HttpFailure failure) {
+  switch (failure) {
+    case HttpFailure::kNone:
+      return WorkerCallEnd::kAnswered;
+    case HttpFailure::kNotConnected:
+      return WorkerCallEnd::kNotSent;
+    case HttpFailure::kBroken:
+      return WorkerCallEnd::kBroken;
+    case HttpFailure::kTimeout:
+      return WorkerCallEnd::kTimeout;
   }
-  return answer;
+  return WorkerCallEnd::kBroken;
 }
 
 }  // namespace
 
 class WorkerClient::Impl {
  public:
-  explicit Impl(absl::string_view address)
-      : pool(address, {kConnectTimeout, kMaxIdle}) {}
+  explicit Impl(absl::string_view address) : pool(address, PoolSettings()) {}
 
   WorkerAnswer Post(absl::string_view path,
                     absl::Span<const HttpHeader> headers,
                     absl::string_view body,
                     absl::Duration timeout) {
-    const absl::Time give_up = MonotonicNow() + timeout;
-    std::unique_ptr<httplib::Client> client = this->pool.Take();
-    client->set_read_timeout(absl::ToChronoMicroseconds(timeout));
-    client->set_write_timeout(absl::ToChronoMicroseconds(timeout));
-    httplib::Headers fields;
-    for (const HttpHeader& header : headers) {
-      fields.emplace(header.name, header.value);
-    }
-    const httplib::Result result =
-        client->Post(std::string(path), fields, std::string(body),
-                     "application/octet-stream");
-    if (!result) {
-      return FromFailure(result.error(),
-                         MonotonicNow() >= give_up - kTimeoutSlack);
-    }
-    if (!HasDelimitedBody(result.value())) {
-      return FromFailure(httplib::Error::Read, false);
-    }
+    std::unique_ptr<HttpClientConnection> connection = this->pool.Take();
+    HttpResponse response = connection->Post(path, headers, body, timeout);
+    this->pool.Keep(std::move(connection));
     WorkerAnswer answer;
-    answer.end = WorkerCallEnd::kAnswered;
-    answer.status = static_cast<uint32_t>(result->status);
-    answer.content_type = result->get_header_value("Content-Type");
-    answer.body = result->body;
-    this->pool.Keep(std::move(client));
+    answer.end = EndOf(response.failure);
+    answer.status = response.status;
+    const std::string* type = FindHeader(response, "Content-Type");
+    answer.content_type = type == nullptr ? "" : *type;
+    answer.body = std::move(response.body);
     return answer;
   }
 
--- a/tests/unit/worker_client_test.cc
+++ b/tests/unit/worker_client_test.cc
@@ -11,6 +11,7 @@
 
 #include "absl/time/clock.h"
 #include "boragepaddle/transport/socket.h"
+#include "tests/unit/invalid_heads.h"
 
 namespace boragepaddle::transport {
 namespace {
@@ -91,6 +92,27 @@
   }
 }
 
+// Guards against a caller that gets a status that HTTP does not have.
+TEST_CASE("worker client: a response with an invalid status is no answer") {
+  for (const std::string& status : InvalidStatuses()) {
+    CAPTURE(status);
+    CHECK(CallScripted(
+              "HTTP/1.1 " + status + " X\r\nContent-Length: 1\r\n\r\nb", true)
+              .end == WorkerCallEnd::kBroken);
+  }
+}
+
+// Guards against a body whose length was stated in a line that is no field.
+TEST_CASE("worker client: a response with an invalid field name is no answer") {
+  for (const std::string& line : InvalidFieldLines()) {
+    CAPTURE(line);
+    CHECK(CallScripted(
+              "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 1\r\n\r\nb",
+              true)
+              .end == WorkerCallEnd::kBroken);
+  }
+}
+
 // Guards against a caller that gets the answer to an earlier request: the
 // worker sends a second copy of it on a connection that is kept.
 TEST_CASE("worker client: a second copy of an answer is not the next answer") {
