--- a/tests/unit/invalid_heads.h
+++ b/tests/unit/invalid_heads.h
@@ -19,7 +19,7 @@
           "Content-Length : 1",
           "Transfer-Encoding : chunked",
           "Content Length: 1",
-          std::string("X\0Y: z", 7),
+          std::string("X\0Y: z", 6),
           "X\x01Y: z",
           "X\x7fY: z",
           "X\rY: z",
