Bound the answers of workers in the own interface

A faulty worker that sends bytes without end, in a head or in a body, made the node of the own interface keep all of them until its memory was used up, which ends the requests of all its clients (LOST).

A lack of memory counts as a timeout, since it must not mark the request as a crash suspect.

--- a/src/boragepaddle/transport/http_client_connection.cc
+++ b/src/boragepaddle/transport/http_client_connection.cc
@@ -106,9 +106,25 @@
   return nullptr;
 }
 
+bool ResponseMemory::Resize(uint64_t& held, uint64_t bytes) {
+  if (bytes <= held) {
+    this->used -= held - bytes;
+    held = bytes;
+    return true;
+  }
+  const uint64_t more = bytes - held;
+  if (this->used.fetch_add(more) + more > this->limit) {
+    this->used -= more;
+    return false;
+  }
+  held = bytes;
+  return true;
+}
+
 HttpClientConnection::HttpClientConnection(absl::string_view address,
-                                           const HttpClientSettings& settings)
-    : address(address), settings(settings) {}
+                                           const HttpClientSettings& settings,
+                                           ResponseMemory& memory)
+    : address(address), settings(settings), memory(memory) {}
 
 HttpResponse HttpClientConnection::Post(absl::string_view path,
                                         absl::Span<const HttpHeader> headers,
@@ -128,8 +144,12 @@
   this->reusable = false;
   const HttpFailure failure =
       this->Write(MakePost(this->address, path, headers, body), deadline);
-  return failure == HttpFailure::kNone ? this->Read(deadline)
-                                       : Failure(failure);
+  if (failure != HttpFailure::kNone) {
+    return Failure(failure);
+  }
+  HttpResponse response = this->Read(deadline);
+  this->memory.Resize(this->held_bytes, 0);
+  return response;
 }
 
 bool HttpClientConnection::IsIdle() const {
@@ -242,6 +262,9 @@
       return HttpFailure::kBroken;
     }
     parser.eager(parser.is_header_done());
+    if (!this->memory.Resize(this->held_bytes, parser.get().body().size())) {
+      return HttpFailure::kNoMemory;
+    }
     needs_input = error == http::error::need_more || this->buffer.size() == 0;
   }
   return HttpFailure::kNone;
--- a/src/boragepaddle/transport/http_client_connection.h
+++ b/src/boragepaddle/transport/http_client_connection.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEPADDLE_TRANSPORT_HTTP_CLIENT_CONNECTION_H_
 #define BORAGEPADDLE_TRANSPORT_HTTP_CLIENT_CONNECTION_H_
 
+#include <atomic>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -23,6 +24,19 @@
   uint64_t max_body_bytes = 8u << 20;
 };
 
+/// Bytes of incomplete responses over several connections. Thread-safe.
+class ResponseMemory {
+ public:
+  explicit ResponseMemory(uint64_t limit) : limit(limit) {}
+
+  /// Changes the bytes of one response; false if there is no room for more.
+  bool Resize(uint64_t& held, uint64_t bytes);
+
+ private:
+  const uint64_t limit;
+  std::atomic<uint64_t> used{0};
+};
+
 /// Why there is no response.
 enum class HttpFailure : uint8_t {
   kNone,
@@ -32,6 +46,8 @@
   kBroken,
   /// No complete response in time.
   kTimeout,
+  /// No room for the response in the memory of all responses.
+  kNoMemory,
 };
 
 /// A complete response, or the reason why there is none.
@@ -52,7 +68,8 @@
  public:
   /// `address` is the server's `host:port`.
   HttpClientConnection(absl::string_view address,
-                       const HttpClientSettings& settings);
+                       const HttpClientSettings& settings,
+                       ResponseMemory& memory);
 
   /// Sends a POST request, opening the connection if it is not open, and waits
   /// for the response. Never sends again.
@@ -72,7 +89,7 @@
   /// no request.
   bool IsIdle() const;
   HttpFailure Write(absl::string_view data, absl::Time deadline);
-  /// Reads the next final response.
+  /// Reads the next final response, which then no longer holds memory.
   HttpResponse Read(absl::Time deadline);
   /// Reads one response, which may be an interim one.
   HttpFailure Parse(Parser& parser, absl::Time deadline);
@@ -83,6 +100,9 @@
 
   const std::string address;
   const HttpClientSettings settings;
+  ResponseMemory& memory;
+  /// Bytes of `memory` that the incomplete response holds.
+  uint64_t held_bytes = 0;
   Socket socket;
   boost::beast::flat_buffer buffer;
   bool reusable = false;
--- a/src/boragepaddle/transport/http_client_pool.cc
+++ b/src/boragepaddle/transport/http_client_pool.cc
@@ -9,7 +9,9 @@
 
 HttpClientPool::HttpClientPool(absl::string_view address,
                                const HttpClientPoolSettings& settings)
-    : address(address), settings(settings) {}
+    : address(address),
+      settings(settings),
+      memory(settings.max_buffered_bytes) {}
 
 std::unique_ptr<HttpClientConnection> HttpClientPool::Take() {
   {
@@ -26,8 +28,8 @@
       return connection;
     }
   }
-  return std::make_unique<HttpClientConnection>(this->address,
-                                                this->settings.connection);
+  return std::make_unique<HttpClientConnection>(
+      this->address, this->settings.connection, this->memory);
 }
 
 void HttpClientPool::Keep(std::unique_ptr<HttpClientConnection> connection) {
--- a/src/boragepaddle/transport/http_client_pool.h
+++ b/src/boragepaddle/transport/http_client_pool.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEPADDLE_TRANSPORT_HTTP_CLIENT_POOL_H_
 #define BORAGEPADDLE_TRANSPORT_HTTP_CLIENT_POOL_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,12 +17,15 @@
 /// Settings of an HttpClientPool.
 struct HttpClientPoolSettings {
   HttpClientSettings connection;
+  /// Limit on the bytes of incomplete responses over all connections.
+  uint64_t max_buffered_bytes = 64u << 20;
   /// Connections that have been idle for longer are not reused.
   absl::Duration max_idle = absl::Seconds(3);
 };
 
 /// Pool of keep-alive connections to one HTTP server. A connection that is not
-/// returned to the pool is closed when its owner destroys it.
+/// returned to the pool is closed when its owner destroys it. The pool must
+/// outlive its connections.
 class HttpClientPool {
  public:
   /// `address` is the server's `host:port`.
@@ -42,6 +46,7 @@
 
   const std::string address;
   const HttpClientPoolSettings settings;
+  ResponseMemory memory;
   absl::Mutex mutex;
   std::vector<KeptConnection> kept ABSL_GUARDED_BY(mutex);
 };
--- a/src/boragepaddle/transport/worker_client.cc
+++ b/src/boragepaddle/transport/worker_client.cc
@@ -32,6 +32,8 @@
     case HttpFailure::kBroken:
       return WorkerCallEnd::kBroken;
     case HttpFailure::kTimeout:
+    // Neither the worker nor the request is to blame, as for a broken answer.
+    case HttpFailure::kNoMemory:
       return WorkerCallEnd::kTimeout;
   }
   return WorkerCallEnd::kBroken;
