Compare a call with the end of the process only in a planned stop

The check looked up the recent times of a route for each nested call and each call for the worker. It is now skipped unless the process stops. The names say what is asked.

--- a/src/boragepaddle/proxy/request_router.h
+++ b/src/boragepaddle/proxy/request_router.h
@@ -147,6 +147,9 @@
   bool AdmitNested(RoutedCall& call);
   void SendAttempt(RoutedCall& call);
   CallTimeBounds TimeBounds(const RoutedCall& call, absl::Time now) const;
+  /// True if the process stops and is expected to end before the nested call
+  /// does.
+  bool OutlastsProcess(const RoutedCall& call, absl::Time now) const;
   /// Ends a call that could not complete before this process does.
   void RefuseForShutdown(RoutedCall& call, absl::Time now);
   /// Waits for capacity; false if the time for waiting is over.
--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -38,8 +38,7 @@
     this->TimeOut(call);
     return;
   }
-  if (call.nested &&
-      !FitsBeforeEnd(this->shutdown, this->TimeBounds(call, now), now)) {
+  if (this->OutlastsProcess(call, now)) {
     this->RefuseForShutdown(call, now);
     return;
   }
@@ -81,6 +80,12 @@
   return bounds;
 }
 
+bool RequestRouter::OutlastsProcess(const RoutedCall& call,
+                                    absl::Time now) const {
+  return call.nested && this->shutdown.refuses_roots &&
+         !FitsBeforeEnd(this->shutdown, this->TimeBounds(call, now), now);
+}
+
 void RequestRouter::RefuseForShutdown(RoutedCall& call, absl::Time now) {
   const CallTimeBounds bounds = this->TimeBounds(call, now);
   this->log.LogFailedRequest(
--- a/src/boragepaddle/proxy/shutdown_state.h
+++ b/src/boragepaddle/proxy/shutdown_state.h
@@ -18,8 +18,8 @@
   absl::Duration margin = absl::Milliseconds(300);
   /// Calls for the worker are accepted until this multiple of the mean call
   /// time remains, within the limits below, and this multiple of the longest
-  /// recent call. A call whose route is known by enough recent calls needs that
-  /// multiple of the longest of these.
+  /// recent call. The longest recent call of a route, times the same multiple,
+  /// is what a call of that route is expected to need.
   double reserved_mean_times = 4;
   absl::Duration min_reserved_time = absl::Milliseconds(300);
   absl::Duration max_reserved_time = absl::Seconds(2);
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -140,16 +140,19 @@
   return route == nullptr ? "" : route->name;
 }
 
-bool WorkerProxy::FitsBeforeEnd(const Call& call, absl::Time now) const {
+bool WorkerProxy::OutlastsProcess(const Call& call, absl::Time now) const {
+  if (!this->shutdown.refuses_roots) {
+    return false;
+  }
   CallTimeBounds bounds;
   bounds.limit = call.deadline - now;
   bounds.longest_recent = admission::LongestCallTime(
       this->route_times, call.route, call.message.service, now);
-  return proxy::FitsBeforeEnd(this->shutdown, bounds, now);
+  return !FitsBeforeEnd(this->shutdown, bounds, now);
 }
 
 Reason WorkerProxy::CheckCall(const Call& call, absl::Time now) const {
-  if (this->shutdown.refuses_calls || !this->FitsBeforeEnd(call, now)) {
+  if (this->shutdown.refuses_calls || this->OutlastsProcess(call, now)) {
     return Reason::kLeaving;
   }
   if (quarantine::DecideAdmission(this->quarantine, call.fingerprint, now) ==
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -144,8 +144,8 @@
   const catalog::WorkerEntry* LocalWorker() const;
   /// Name of the route of the call; empty without one.
   std::string RouteOf(const schema::HttpCall& call) const;
-  /// True if the call can complete before this process ends.
-  bool FitsBeforeEnd(const Call& call, absl::Time now) const;
+  /// True if the process stops and is expected to end before the call does.
+  bool OutlastsProcess(const Call& call, absl::Time now) const;
   schema::Reason CheckCall(const Call& call, absl::Time now) const;
   /// Advances a due check for a crash of the worker, and repeats the reports of
   /// rejected requests for nodes that missed them.
