--- a/src/boragepaddle/admission/call_times.h
+++ b/src/boragepaddle/admission/call_times.h
@@ -12,8 +12,10 @@
 
 namespace boragepaddle::admission {
 
+/// Settings of CallTimes.
 struct CallTimesSettings {
-  /// Recent calls of a route without which its longest time is unknown.
+  /// Recent calls of a route without which its longest time is unknown: the
+  /// next call is longer than n others with a probability of 1 / (n + 1).
   uint32_t min_calls = 8;
   /// Limit on the routes that are kept.
   size_t max_routes = 4096;
--- a/src/boragepaddle/event/socket_options.cc
+++ b/src/boragepaddle/event/socket_options.cc
@@ -73,6 +73,7 @@
   return nothing ? SocketState::kNoData : SocketState::kClosed;
 }
 
+// A reset is reported too: poll(2) always adds POLLERR and POLLHUP.
 bool HasPeerClosed(Tcp::socket& socket) {
   pollfd entry{socket.native_handle(), POLLRDHUP, 0};
   return poll(&entry, 1, /*timeout=*/0) > 0;
--- a/src/boragepaddle/transport/http_client_connection.h
+++ b/src/boragepaddle/transport/http_client_connection.h
@@ -20,16 +20,18 @@
 /// Settings of a client connection.
 struct HttpClientSettings {
   absl::Duration connect_timeout = absl::Seconds(1);
-  /// Limit on a response body.
+  /// Limit on a response body. No larger one fits into a frame between nodes.
   uint64_t max_body_bytes = 8u << 20;
 };
 
 /// Bytes of incomplete responses over several connections. Thread-safe.
 class ResponseMemory {
  public:
+  /// `limit` is in bytes.
   explicit ResponseMemory(uint64_t limit) : limit(limit) {}
 
-  /// Changes the bytes of one response; false if there is no room for more.
+  /// Changes the bytes that one response holds, `held`; false without a change
+  /// if there is no room for more.
   bool Resize(uint64_t& held, uint64_t bytes);
 
  private:
