Log how a crash of the worker was found or not, and who rejected a request

[worker] ended/served has worker_outcome; crashed and crash_not_confirmed have the sign, the latter the fingerprints too; request_rejected tells whether the last crash was counted here or came with a report.

--- a/src/boragepaddle/event/accept_probe.cc
+++ b/src/boragepaddle/event/accept_probe.cc
@@ -36,6 +36,18 @@
 
 }  // namespace
 
+absl::string_view ToString(ProbeResult result) {
+  switch (result) {
+    case ProbeResult::kAccepted:
+      return "accepted";
+    case ProbeResult::kNotAccepted:
+      return "not_accepted";
+    case ProbeResult::kUnknown:
+      return "unknown";
+  }
+  return "invalid";
+}
+
 void ProbeAccept(boost::asio::io_context& loop,
                  const Tcp::endpoint& endpoint,
                  absl::Duration timeout,
--- a/src/boragepaddle/event/accept_probe.h
+++ b/src/boragepaddle/event/accept_probe.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "boragepaddle/event/socket_options.h"
 
@@ -18,6 +19,9 @@
   kUnknown,
 };
 
+/// Name in logs.
+absl::string_view ToString(ProbeResult result);
+
 /// Opens a connection to the endpoint and closes it at once. `done` is called
 /// once, never from within this function.
 void ProbeAccept(boost::asio::io_context& loop,
--- a/src/boragepaddle/event/worker_connection_pool.cc
+++ b/src/boragepaddle/event/worker_connection_pool.cc
@@ -9,6 +9,26 @@
 
 namespace boragepaddle::event {
 
+absl::string_view ToString(WorkerOutcome outcome) {
+  switch (outcome) {
+    case WorkerOutcome::kAnswered:
+      return "answered";
+    case WorkerOutcome::kNotRun:
+      return "not_run";
+    case WorkerOutcome::kNotSent:
+      return "not_sent";
+    case WorkerOutcome::kConnectionLost:
+      return "connection_lost";
+    case WorkerOutcome::kInvalidResponse:
+      return "invalid_response";
+    case WorkerOutcome::kNoMemory:
+      return "no_memory";
+    case WorkerOutcome::kCancelled:
+      return "cancelled";
+  }
+  return "invalid";
+}
+
 WorkerConnectionPool::WorkerConnectionPool(boost::asio::io_context& loop,
                                            const WorkerFieldNames& names,
                                            MemoryBudget& memory)
--- a/src/boragepaddle/event/worker_connection_pool.h
+++ b/src/boragepaddle/event/worker_connection_pool.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "boragepaddle/event/accept_probe.h"
 #include "boragepaddle/event/http_exchange.h"
@@ -57,6 +58,9 @@
   kCancelled,
 };
 
+/// Name in logs.
+absl::string_view ToString(WorkerOutcome outcome);
+
 struct WorkerResult {
   WorkerOutcome outcome = WorkerOutcome::kConnectionLost;
   uint32_t status = 0;
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -23,11 +23,6 @@
 /// A call with less time left is not sent to the worker.
 constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(5);
 
-/// Worker crashes after which a request is refused: the users' rules count what
-/// is sent after the third. With fewer, requests that only ran beside crashes
-/// of many workers were refused.
-constexpr uint32_t kRejectedCrashes = 3;
-
 /// Equal for all attempts of a request by the clients of one service, at any
 /// node. Workers may handle another caller or authority differently, so that
 /// its requests neither clear nor incriminate this one.
@@ -271,6 +266,7 @@
   const absl::Time now = event::BootNow();
   const auto found = this->calls.find(id);
   if (found != this->calls.end()) {
+    found->second.worker_outcome = result.outcome;
     this->RecordCallEnd(found->second.fingerprint, result.outcome, now);
     this->ApplyWorkerFields(found->second, result, now);
     this->RecordCallTime(found->second, result, now);
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -33,6 +33,11 @@
 /// Rates and shares in messages are in thousandths.
 inline constexpr double kRateUnit = 1000;
 
+/// Worker crashes after which a request is refused: the users' rules count what
+/// is sent after the third. With fewer, requests that only ran beside crashes
+/// of many workers were refused.
+inline constexpr uint32_t kRejectedCrashes = 3;
+
 /// Properties that nested calls inherit from a running request.
 struct ParentCall {
   uint32_t priority = 0;
@@ -139,6 +144,8 @@
     bool over_fair_share = false;
     bool started = false;
     bool cancelled = false;
+    /// How the call ended at the worker; none if it did not get there.
+    absl::optional<event::WorkerOutcome> worker_outcome;
   };
 
   const catalog::WorkerEntry* LocalWorker() const;
@@ -150,8 +157,9 @@
   /// Advances a due check for a crash of the worker, and repeats the reports of
   /// rejected requests for nodes that missed them.
   void TickCrashes(absl::Time now);
-  /// Ends the check; reports the crash to the other nodes.
-  void EndCrashCheck(bool has_crashed);
+  /// Ends the check; reports a crash to the other nodes. `sign` tells in the
+  /// log what the verdict rests on.
+  void EndCrashCheck(bool has_crashed, absl::string_view sign);
   void ApplyDecisions(const admission::SlotDecisions& actions, absl::Time now);
   void StartCall(uint64_t id, absl::Time now);
   void OnResult(uint64_t id, event::WorkerResult result);
@@ -178,8 +186,13 @@
   event::WorkerRequest MakeRequest(Call& call, absl::Time now) const;
   schema::GateLoad CurrentLoad() const;
   void LogAnswer(const Call& call, const schema::HttpAnswer& answer);
-  void LogCrash(size_t broken_calls,
+  void LogCrash(absl::string_view sign,
+                size_t broken_calls,
                 absl::Span<const schema::CrashReport> reports);
+  void LogCrashNotConfirmed(absl::string_view sign);
+  /// Logs that the request is refused from now on. `source` tells who counted
+  /// its last crash.
+  void LogRejected(const schema::CrashReport& report, absl::string_view source);
   void LogSuspectCleared(const schema::CrashReport& report);
 
   const NodeSettings& settings;
--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -131,11 +131,12 @@
       case quarantine::CrashCheckStep::kProbe:
         this->pool.Probe(kCrashProbeTimeout, [this](event::ProbeResult result) {
           this->EndCrashCheck(
-              /*has_crashed=*/result == event::ProbeResult::kNotAccepted);
+              /*has_crashed=*/result == event::ProbeResult::kNotAccepted,
+              event::ToString(result));
         });
         break;
       case quarantine::CrashCheckStep::kEnd:
-        this->EndCrashCheck(/*has_crashed=*/false);
+        this->EndCrashCheck(/*has_crashed=*/false, "older_connection_open");
         break;
     }
   }
@@ -145,24 +146,41 @@
   }
 }
 
-void WorkerProxy::EndCrashCheck(bool has_crashed) {
+void WorkerProxy::EndCrashCheck(bool has_crashed, absl::string_view sign) {
   const absl::Time now = event::BootNow();
+  if (!has_crashed) {
+    this->LogCrashNotConfirmed(sign);
+  }
   const std::vector<uint64_t> broken =
       quarantine::EndCrashCheck(this->crash_detector, has_crashed);
   if (broken.empty()) {
-    this->log.LogState(telemetry::LogLine("worker", "crash_not_confirmed"));
     return;
   }
   const uint64_t crash_id = base::StableHash(
       {this->settings.vm_id, absl::StrCat(absl::ToUnixNanos(now))});
   const auto reports = quarantine::OnWorkerCrash(this->quarantine, broken,
                                                  crash_id, /*peers=*/{}, now);
-  this->LogCrash(broken.size(), reports);
+  this->LogCrash(sign, broken.size(), reports);
+  for (const schema::CrashReport& report : reports) {
+    if (report.crashes == kRejectedCrashes) {
+      this->LogRejected(report, "this_node");
+    }
+  }
   this->report_crashes(reports);
 }
 
 void WorkerProxy::OnCrashReport(const schema::CrashReport& report) {
-  quarantine::OnCrashReport(this->quarantine, report, event::BootNow());
+  const absl::Time now = event::BootNow();
+  const auto is_rejected = [&] {
+    return quarantine::DecideAdmission(this->quarantine, report.fingerprint,
+                                       now) ==
+           quarantine::QuarantineDecision::kReject;
+  };
+  const bool was_rejected = is_rejected();
+  quarantine::OnCrashReport(this->quarantine, report, now);
+  if (!was_rejected && is_rejected()) {
+    this->LogRejected(report, "report");
+  }
 }
 
 std::vector<schema::CrashReport> WorkerProxy::CrashReports() const {
--- a/src/boragepaddle/proxy/worker_proxy_reports.cc
+++ b/src/boragepaddle/proxy/worker_proxy_reports.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -47,6 +49,9 @@
       .Add("fingerprint", FormatFingerprint(call.fingerprint))
       .Add("caller", call.message.origin_service)
       .Add("outcome", schema::ToString(answer.outcome))
+      .Add("worker_outcome", call.worker_outcome
+                                 ? event::ToString(*call.worker_outcome)
+                                 : "none")
       .Add("reason", schema::ToString(answer.reason))
       .Add("status", answer.status)
       .Add("instance", call.message.instance)
@@ -80,7 +85,30 @@
   return load;
 }
 
-void WorkerProxy::LogCrash(size_t broken_calls,
+void WorkerProxy::LogCrashNotConfirmed(absl::string_view sign) {
+  const std::vector<uint64_t>& broken = this->crash_detector.broken_calls;
+  std::string requests;
+  for (size_t i = 0; i < std::min(broken.size(), kMaxLoggedSuspects); ++i) {
+    absl::StrAppend(&requests, i == 0 ? "" : ",", FormatFingerprint(broken[i]));
+  }
+  this->log.LogState(telemetry::LogLine("worker", "crash_not_confirmed")
+                         .Add("sign", sign)
+                         .Add("broken_calls", broken.size())
+                         .Add("fingerprints", requests));
+}
+
+void WorkerProxy::LogRejected(const schema::CrashReport& report,
+                              absl::string_view source) {
+  this->log.LogState(
+      telemetry::LogLine("worker", "request_rejected")
+          .Add("fingerprint", FormatFingerprint(report.fingerprint))
+          .Add("crashes", report.crashes)
+          .Add("source", source)
+          .Add("expires_in_s", report.expiry_us / 1000000));
+}
+
+void WorkerProxy::LogCrash(absl::string_view sign,
+                           size_t broken_calls,
                            absl::Span<const schema::CrashReport> reports) {
   std::string suspects;
   for (const schema::CrashReport& report :
@@ -89,6 +117,7 @@
                     FormatFingerprint(report.fingerprint), ":", report.crashes);
   }
   this->log.LogState(telemetry::LogLine("worker", "crashed")
+                         .Add("sign", sign)
                          .Add("broken_calls", broken_calls)
                          .Add("suspects", reports.size())
                          .Add("crashes_by_suspect", suspects));
