--- /dev/null
+++ b/tests/integration/crash_of_service_nodes_test.py
@@ -0,0 +1,49 @@
+"""A crashing request after all nodes of its service have ended together, on the users' platform with real nodes."""
+
+import time
+import unittest
+
+from crashing_requests import CONTACT_S, DOWN_S, MAX_CRASHES, MAX_LATE_SENDS, SEND_INTERVAL_S, CrashingRequestFixture
+from mesh.wait import wait_until
+
+SENDS = 12
+SENDS_AFTER = 20
+
+
+class CrashOfServiceNodesTest(CrashingRequestFixture):
+    """Two nodes of another service send the request; they keep running."""
+
+    OTHER_CALLERS = 2
+
+    def send_through(self, node, path, count):
+        for _ in range(count):
+            self.send(node, path)
+            time.sleep(SEND_INTERVAL_S)
+
+    def check_after_end(self, path):
+        self.send_through(self.callers[0], path, SENDS)
+        self.assertGreaterEqual(sum(len(worker.crashed_at) for worker in self.workers), MAX_CRASHES)
+        for node in self.nodes:
+            node.kill()
+        for node in self.nodes:
+            node.start()
+        for node in self.nodes:
+            wait_until(node.is_ready, 10, "readiness of " + node.name)
+        time.sleep(CONTACT_S + DOWN_S)
+        # The second caller has not sent the request before, so it was never refused one.
+        self.send_through(self.callers[1], path, SENDS_AFTER)
+        self.send_through(self.callers[0], path, SENDS)
+        self.assertLessEqual(len(self.late_sends()), MAX_LATE_SENDS)
+        for node in self.nodes + self.callers:
+            self.assertEqual(self.send(node, path), 503)
+
+    def test_a_crashing_request_is_known_after_the_end_of_all_nodes_of_its_service(self):
+        """Guards against a crashing request that is forgotten with the nodes of the service that runs it."""
+        self.check_after_end("/read/crash")
+
+    def test_the_same_for_a_request_that_is_not_repeatable(self):
+        self.check_after_end("/write/crash")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/integration/crashing_requests.py
+++ b/tests/integration/crashing_requests.py
@@ -18,7 +18,6 @@
 MAX_CRASHES = 3
 MAX_LATE_SENDS = 3
 MEASURED_S = 6
-BACKGROUND_CLIENTS = 6
 RESTARTED_AFTER_SENDS = 30
 
 
@@ -42,14 +41,23 @@
         if not self.is_crashing(handler):
             return super().work(handler, attempt)
         self.crashed_at.append(time.monotonic())
-        self.crash(DOWN_S)
+        self.end(handler)
         raise ConnectionError("crashed")
 
+    def end(self, handler):
+        """The end of the worker, and its return."""
+        self.crash(DOWN_S)
+
 
 class CrashingRequestFixture(unittest.TestCase):
     """Four workers of `s1`, the nodes beside them, and nodes of `s2` whose workers only make calls."""
 
     OTHER_CALLERS = 0
+    WORKER = CrashingWorker
+    BACKGROUND_CLIENTS = 6
+    # Time after which the client of a crashing request leaves, and the time limit that it states.
+    CRASHING_CLIENT_S = 5
+    CRASHING_LIMIT_S = 3
 
     def is_crashing(self, handler):
         """Whether a request crashes the worker that begins to run it."""
@@ -59,7 +67,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
         self.store = FakeStore("127.0.0.1")
-        self.workers = [CrashingWorker("127.0.3.%d" % (index + 1), "s1", "i-%d" % index, is_crashing=self.is_crashing)
+        self.workers = [self.WORKER("127.0.3.%d" % (index + 1), "s1", "i-%d" % index, is_crashing=self.is_crashing)
                         for index in range(WORKERS)]
         callers = [FakeWorker("127.0.3.%d" % (WORKERS + index + 1), "s2", "c-%d" % index)
                    for index in range(self.OTHER_CALLERS)]
@@ -71,8 +79,10 @@
         self.threads = []
 
     def send(self, node, path, host="a.example"):
+        is_crashing = path.endswith("/crash")
         try:
-            return node.get(node.caller, path, host, "POST")[0]
+            return node.get(node.caller, path, host, "POST", timeout=self.CRASHING_CLIENT_S if is_crashing else 5,
+                            fields={"Deadline-Ms": "%d" % (self.CRASHING_LIMIT_S * 1000)} if is_crashing else None)[0]
         except (OSError, http.client.HTTPException):
             return 0
 
@@ -110,7 +120,7 @@
 
     def check(self, path):
         """Sends a crashing request beside others; afterwards it is refused, and the others are served."""
-        self.run_clients(BACKGROUND_CLIENTS,
+        self.run_clients(self.BACKGROUND_CLIENTS,
                          lambda number: self.send(self.nodes[number % WORKERS], "/read/%d" % number))
         try:
             self.send_crashing(path)
--- a/tools/mesh/platform_fakes.py
+++ b/tools/mesh/platform_fakes.py
@@ -11,6 +11,8 @@
 ROUTE_COLUMNS = ["name", "authority", "prefix", "route_type", "timeout_s",
                  "target_latency_s", "priority", "traffic_split",
                  "max_attempts", "public", "service"]
+# Time within which a worker that crashes closes its connections.
+WORKER_POLL_S = 0.02
 ACCOUNT_COLUMNS = ["name", "api_keys", "priority", "rate_per_s", "burst"]
 
 
@@ -205,17 +207,19 @@
             do_GET = do_POST = handle_any
 
         self.handler = Handler
-        self.server = _Server((host, port), Handler)
+        self.start((host, port))
         self.address = "%s:%d" % self.server.server_address
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def start(self, address):
+        self.server = _Server(address, self.handler)
+        threading.Thread(target=self.server.serve_forever, args=(WORKER_POLL_S,), daemon=True).start()
 
     def crash(self, down_s):
         """Closes all connections and refuses new ones for a while."""
         address = self.server.server_address
         self.server.close_all()
         time.sleep(down_s)
-        self.server = _Server(address, self.handler)
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.start(address)
 
     def entry(self, state="ready"):
         return {"service": self.service, "address": self.address, "zone": "z", "version": "v1",
