Count a call that ends with invalid bytes as one that its worker may have crashed on

Callers saw a request that crashes workers reach one after the other, and with each crash lost their own requests on that worker.

Cause: only calls whose connection ended without a byte counted. A worker that writes bytes which are no answer before it ends was never taken as crashed, since the node closes that connection itself. Class: one sign of an event stands for the event.

Now such a call starts the same check: older connections must end, and the worker must accept no new one. A worker that only writes invalid bytes is still not taken as crashed (new case of lost_answers_on_platform_test).

--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -109,7 +109,10 @@
 void WorkerProxy::RecordCallEnd(uint64_t fingerprint,
                                 event::WorkerOutcome outcome,
                                 absl::Time now) {
-  if (outcome == event::WorkerOutcome::kConnectionLost) {
+  // A worker that crashes may write bytes that are no answer before its
+  // connections end.
+  if (outcome == event::WorkerOutcome::kConnectionLost ||
+      outcome == event::WorkerOutcome::kInvalidResponse) {
     quarantine::OnBrokenCall(this->crash_detector, fingerprint, now);
   } else if (outcome == event::WorkerOutcome::kAnswered) {
     const auto cleared =
--- a/src/boragepaddle/proxy/worker_proxy_reports.cc
+++ b/src/boragepaddle/proxy/worker_proxy_reports.cc
@@ -49,9 +49,8 @@
       .Add("fingerprint", FormatFingerprint(call.fingerprint))
       .Add("caller", call.message.origin_service)
       .Add("outcome", schema::ToString(answer.outcome))
-      .Add("worker_outcome", call.worker_outcome
-                                 ? event::ToString(*call.worker_outcome)
-                                 : "none")
+      .Add("worker_outcome",
+           call.worker_outcome ? event::ToString(*call.worker_outcome) : "none")
       .Add("reason", schema::ToString(answer.reason))
       .Add("status", answer.status)
       .Add("instance", call.message.instance)
--- a/tests/integration/lost_answers_on_platform_test.py
+++ b/tests/integration/lost_answers_on_platform_test.py
@@ -23,17 +23,33 @@
     def work(self, handler, attempt):
         if self.loses_answers:
             self.lost += 1
+            self.lose(handler)
             raise ConnectionError("answer lost")
         return 200
 
+    def lose(self, handler):
+        """What the worker sends instead of an answer."""
+
+
+class InvalidAnswerWorker(ForgetfulWorker):
+    def lose(self, handler):
+        handler.wfile.write(b"\x00\x01 no answer\r\n\r\n")
+        handler.wfile.flush()
+
 
 class LostAnswersOnPlatformTest(unittest.TestCase):
     def test_a_request_whose_answers_were_lost_is_served_again(self):
         """Guards against lost answers that are taken for crashes of the worker, so that a common request is refused."""
+        self.check_served_after_lost_answers(ForgetfulWorker)
+
+    def test_the_same_for_invalid_answers(self):
+        self.check_served_after_lost_answers(InvalidAnswerWorker)
+
+    def check_served_after_lost_answers(self, worker_class):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         store = FakeStore("127.0.0.1")
-        workers = [ForgetfulWorker("127.0.7.%d" % (index + 1), "s1", "i-%d" % index) for index in range(2)]
+        workers = [worker_class("127.0.7.%d" % (index + 1), "s1", "i-%d" % index) for index in range(2)]
         nodes = start_fleet(self, folder.name, store, workers, ROUTES)
 
         def read(index):
