Take a worker as crashed when its address accepts connections and closes them

Callers saw a request that crashes workers reach one after the other, on machines where something else keeps listening at the address of a worker that has ended, such as a supervisor.

Cause: the check after broken calls took an accepted connection as proof of a living worker. Class: the address stands for the process.

While its address closes connections, further broken calls are no evidence against their requests, and calls are refused as not run instead of breaking, until a probe stays open or a call is answered. The signs of a crash are listed in quarantine::WorkerSign.

Unit tests of probe and detector.

--- a/src/boragepaddle/event/accept_probe.cc
+++ b/src/boragepaddle/event/accept_probe.cc
@@ -9,13 +9,6 @@
 
 namespace {
 
-struct Probe {
-  explicit Probe(boost::asio::io_context& loop) : socket(loop), timer(loop) {}
-
-  Tcp::socket socket;
-  boost::asio::steady_timer timer;
-};
-
 /// True if the connection failed for a lack of resources of this process or
 /// host, which tells nothing of the endpoint.
 bool IsLocalFailure(const boost::system::error_code& error) {
@@ -26,47 +19,67 @@
          error == boost::system::errc::not_enough_memory;
 }
 
-ProbeResult ResultOf(const boost::system::error_code& error) {
-  if (!error) {
-    return ProbeResult::kAccepted;
-  }
+ProbeResult ResultOfFailure(const boost::system::error_code& error) {
   return IsLocalFailure(error) ? ProbeResult::kUnknown
                                : ProbeResult::kNotAccepted;
 }
 
-}  // namespace
+class Probe : public std::enable_shared_from_this<Probe> {
+ public:
+  Probe(boost::asio::io_context& loop, std::function<void(ProbeResult)> done)
+      : socket(loop), timer(loop), done(std::move(done)) {}
 
-absl::string_view ToString(ProbeResult result) {
-  switch (result) {
-    case ProbeResult::kAccepted:
-      return "accepted";
-    case ProbeResult::kNotAccepted:
-      return "not_accepted";
-    case ProbeResult::kUnknown:
-      return "unknown";
+  void Run(const Tcp::endpoint& endpoint, const ProbeSettings& settings) {
+    this->EndAfter(settings.connect_timeout);
+    this->socket.async_connect(endpoint,
+                               [self = this->shared_from_this(),
+                                hold = settings.hold_time](const auto& error) {
+                                 self->timer.cancel();
+                                 if (error) {
+                                   self->done(ResultOfFailure(error));
+                                   return;
+                                 }
+                                 self->Hold(hold);
+                               });
   }
-  return "invalid";
-}
+
+ private:
+  /// Ends the pending operation on the socket with an error.
+  void EndAfter(absl::Duration time) {
+    this->timer.expires_after(absl::ToChronoNanoseconds(time));
+    this->timer.async_wait(
+        [self = this->shared_from_this()](const auto& cancelled) {
+          if (!cancelled) {
+            boost::system::error_code ignored;
+            self->socket.close(ignored);
+          }
+        });
+  }
+
+  void Hold(absl::Duration time) {
+    this->EndAfter(time);
+    this->socket.async_wait(
+        Tcp::socket::wait_read,
+        [self = this->shared_from_this()](const auto& error) {
+          self->timer.cancel();
+          const bool is_closed =
+              !error && PeekSocket(self->socket) == SocketState::kClosed;
+          self->done(is_closed ? ProbeResult::kClosed : ProbeResult::kAccepted);
+        });
+  }
+
+  Tcp::socket socket;
+  boost::asio::steady_timer timer;
+  std::function<void(ProbeResult)> done;
+};
+
+}  // namespace
 
 void ProbeAccept(boost::asio::io_context& loop,
                  const Tcp::endpoint& endpoint,
-                 absl::Duration timeout,
+                 const ProbeSettings& settings,
                  std::function<void(ProbeResult)> done) {
-  auto probe = std::make_shared<Probe>(loop);
-  probe->timer.expires_after(absl::ToChronoNanoseconds(timeout));
-  probe->timer.async_wait([probe](const boost::system::error_code& cancelled) {
-    if (!cancelled) {
-      // Ends the connect with an error.
-      boost::system::error_code ignored;
-      probe->socket.close(ignored);
-    }
-  });
-  probe->socket.async_connect(
-      endpoint,
-      [probe, done = std::move(done)](const boost::system::error_code& error) {
-        probe->timer.cancel();
-        done(ResultOf(error));
-      });
+  std::make_shared<Probe>(loop, std::move(done))->Run(endpoint, settings);
 }
 
 }  // namespace boragepaddle::event
--- a/src/boragepaddle/event/worker_connection_pool.cc
+++ b/src/boragepaddle/event/worker_connection_pool.cc
@@ -96,9 +96,9 @@
   }
 }
 
-void WorkerConnectionPool::Probe(absl::Duration timeout,
+void WorkerConnectionPool::Probe(const ProbeSettings& settings,
                                  std::function<void(ProbeResult)> done) {
-  ProbeAccept(this->loop, this->worker, timeout, std::move(done));
+  ProbeAccept(this->loop, this->worker, settings, std::move(done));
 }
 
 bool WorkerConnectionPool::HasConnectionFrom(absl::Time before) const {
--- a/src/boragepaddle/event/worker_connection_pool.h
+++ b/src/boragepaddle/event/worker_connection_pool.h
@@ -99,9 +99,10 @@
   /// Closes idle connections that are about to reach the worker's idle timeout.
   void Tick(absl::Time now);
 
-  /// Opens a connection to the worker and closes it. `done` is never called
-  /// from within Probe.
-  void Probe(absl::Duration timeout, std::function<void(ProbeResult)> done);
+  /// Opens a connection to the worker and closes it after a while. `done` is
+  /// never called from within Probe.
+  void Probe(const ProbeSettings& settings,
+             std::function<void(ProbeResult)> done);
 
   /// True if a connection that was established before the time is still open.
   bool HasConnectionFrom(absl::Time before) const;
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -154,6 +154,10 @@
       quarantine::QuarantineDecision::kReject) {
     return Reason::kQuarantined;
   }
+  if (this->crash_detector.is_worker_down) {
+    // The call would break without having run, and nobody could tell.
+    return Reason::kWorkerLost;
+  }
   const catalog::WorkerEntry* worker = this->LocalWorker();
   if (worker == nullptr) {
     // Without a list of workers, the node relies on the list of the sender; the
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -157,9 +157,8 @@
   /// Advances a due check for a crash of the worker, and repeats the reports of
   /// rejected requests for nodes that missed them.
   void TickCrashes(absl::Time now);
-  /// Ends the check; reports a crash to the other nodes. `sign` tells in the
-  /// log what the verdict rests on.
-  void EndCrashCheck(bool has_crashed, absl::string_view sign);
+  /// Ends the check; reports a crash to the other nodes.
+  void EndCrashCheck(quarantine::WorkerSign sign);
   void ApplyDecisions(const admission::SlotDecisions& actions, absl::Time now);
   void StartCall(uint64_t id, absl::Time now);
   void OnResult(uint64_t id, event::WorkerResult result);
@@ -186,10 +185,10 @@
   event::WorkerRequest MakeRequest(Call& call, absl::Time now) const;
   schema::GateLoad CurrentLoad() const;
   void LogAnswer(const Call& call, const schema::HttpAnswer& answer);
-  void LogCrash(absl::string_view sign,
+  void LogCrash(quarantine::WorkerSign sign,
                 size_t broken_calls,
                 absl::Span<const schema::CrashReport> reports);
-  void LogCrashNotConfirmed(absl::string_view sign);
+  void LogCrashNotConfirmed(quarantine::WorkerSign sign);
   /// Logs that the request is refused from now on. `source` tells who counted
   /// its last crash.
   void LogRejected(const schema::CrashReport& report, absl::string_view source);
--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -23,16 +23,26 @@
 /// the time after which a node that was cut off counts as reachable again.
 constexpr absl::Duration kCrashReportInterval = absl::Seconds(1);
 
-/// A worker that accepts no connection in this time counts as crashed, like one
-/// that refuses it.
-constexpr absl::Duration kCrashProbeTimeout = absl::Milliseconds(500);
-
 /// Statuses from this one on are failures of the worker.
 constexpr uint32_t kFirstFailureStatus = 500;
 
 /// Limit on the length of invalid load figures in the log.
 constexpr size_t kMaxLoggedFigures = 40;
 
+quarantine::WorkerSign SignOf(event::ProbeResult result) {
+  switch (result) {
+    case event::ProbeResult::kAccepted:
+      return quarantine::WorkerSign::kServing;
+    case event::ProbeResult::kClosed:
+      return quarantine::WorkerSign::kClosesConnections;
+    case event::ProbeResult::kNotAccepted:
+      return quarantine::WorkerSign::kNotAccepting;
+    case event::ProbeResult::kUnknown:
+      return quarantine::WorkerSign::kUnknown;
+  }
+  return quarantine::WorkerSign::kUnknown;
+}
+
 }  // namespace
 
 void WorkerProxy::SetRateLimit(uint32_t rate_limit, absl::Time now) {
@@ -109,6 +119,10 @@
 void WorkerProxy::RecordCallEnd(uint64_t fingerprint,
                                 event::WorkerOutcome outcome,
                                 absl::Time now) {
+  if (outcome == event::WorkerOutcome::kAnswered ||
+      outcome == event::WorkerOutcome::kNotRun) {
+    quarantine::OnWorkerAnswered(this->crash_detector);
+  }
   // A worker that crashes may write bytes that are no answer before its
   // connections end.
   if (outcome == event::WorkerOutcome::kConnectionLost ||
@@ -132,14 +146,13 @@
       case quarantine::CrashCheckStep::kWait:
         break;
       case quarantine::CrashCheckStep::kProbe:
-        this->pool.Probe(kCrashProbeTimeout, [this](event::ProbeResult result) {
-          this->EndCrashCheck(
-              /*has_crashed=*/result == event::ProbeResult::kNotAccepted,
-              event::ToString(result));
-        });
+        this->pool.Probe(event::ProbeSettings(),
+                         [this](event::ProbeResult result) {
+                           this->EndCrashCheck(SignOf(result));
+                         });
         break;
       case quarantine::CrashCheckStep::kEnd:
-        this->EndCrashCheck(/*has_crashed=*/false, "older_connection_open");
+        this->EndCrashCheck(quarantine::WorkerSign::kOlderConnectionOpen);
         break;
     }
   }
@@ -149,13 +162,18 @@
   }
 }
 
-void WorkerProxy::EndCrashCheck(bool has_crashed, absl::string_view sign) {
+void WorkerProxy::EndCrashCheck(quarantine::WorkerSign sign) {
   const absl::Time now = event::BootNow();
-  if (!has_crashed) {
+  const bool was_down = this->crash_detector.is_worker_down;
+  if (!was_down && !quarantine::IsCrash(sign)) {
     this->LogCrashNotConfirmed(sign);
   }
   const std::vector<uint64_t> broken =
-      quarantine::EndCrashCheck(this->crash_detector, has_crashed);
+      quarantine::EndCrashCheck(this->crash_detector, sign, now);
+  if (was_down && !this->crash_detector.is_worker_down) {
+    this->log.LogState(telemetry::LogLine("worker", "back")
+                           .Add("sign", quarantine::ToString(sign)));
+  }
   if (broken.empty()) {
     return;
   }
--- a/src/boragepaddle/proxy/worker_proxy_reports.cc
+++ b/src/boragepaddle/proxy/worker_proxy_reports.cc
@@ -84,14 +84,14 @@
   return load;
 }
 
-void WorkerProxy::LogCrashNotConfirmed(absl::string_view sign) {
+void WorkerProxy::LogCrashNotConfirmed(quarantine::WorkerSign sign) {
   const std::vector<uint64_t>& broken = this->crash_detector.broken_calls;
   std::string requests;
   for (size_t i = 0; i < std::min(broken.size(), kMaxLoggedSuspects); ++i) {
     absl::StrAppend(&requests, i == 0 ? "" : ",", FormatFingerprint(broken[i]));
   }
   this->log.LogState(telemetry::LogLine("worker", "crash_not_confirmed")
-                         .Add("sign", sign)
+                         .Add("sign", quarantine::ToString(sign))
                          .Add("broken_calls", broken.size())
                          .Add("fingerprints", requests));
 }
@@ -106,7 +106,7 @@
           .Add("expires_in_s", report.expiry_us / 1000000));
 }
 
-void WorkerProxy::LogCrash(absl::string_view sign,
+void WorkerProxy::LogCrash(quarantine::WorkerSign sign,
                            size_t broken_calls,
                            absl::Span<const schema::CrashReport> reports) {
   std::string suspects;
@@ -116,7 +116,7 @@
                     FormatFingerprint(report.fingerprint), ":", report.crashes);
   }
   this->log.LogState(telemetry::LogLine("worker", "crashed")
-                         .Add("sign", sign)
+                         .Add("sign", quarantine::ToString(sign))
                          .Add("broken_calls", broken_calls)
                          .Add("suspects", reports.size())
                          .Add("crashes_by_suspect", suspects));
--- a/src/boragepaddle/quarantine/crash_detector.cc
+++ b/src/boragepaddle/quarantine/crash_detector.cc
@@ -4,9 +4,33 @@
 
 namespace boragepaddle::quarantine {
 
+bool IsCrash(WorkerSign sign) {
+  return sign == WorkerSign::kNotAccepting ||
+         sign == WorkerSign::kClosesConnections;
+}
+
+absl::string_view ToString(WorkerSign sign) {
+  switch (sign) {
+    case WorkerSign::kOlderConnectionOpen:
+      return "older_connection_open";
+    case WorkerSign::kServing:
+      return "serving";
+    case WorkerSign::kUnknown:
+      return "unknown";
+    case WorkerSign::kNotAccepting:
+      return "not_accepting";
+    case WorkerSign::kClosesConnections:
+      return "closes_connections";
+  }
+  return "invalid";
+}
+
 void OnBrokenCall(CrashDetector& detector,
                   uint64_t fingerprint,
                   absl::Time now) {
+  if (detector.is_worker_down) {
+    return;
+  }
   if (detector.broken_calls.empty()) {
     detector.broken_at = now;
     detector.check_at = now + detector.settings.settle_time;
@@ -24,7 +48,7 @@
   if (!IsCrashCheckDue(detector, now)) {
     return CrashCheckStep::kWait;
   }
-  if (!is_older_connection_open) {
+  if (detector.is_worker_down || !is_older_connection_open) {
     detector.check_at = absl::InfiniteFuture();
     return CrashCheckStep::kProbe;
   }
@@ -35,15 +59,29 @@
   return CrashCheckStep::kWait;
 }
 
-std::vector<uint64_t> EndCrashCheck(CrashDetector& detector, bool has_crashed) {
+std::vector<uint64_t> EndCrashCheck(CrashDetector& detector,
+                                    WorkerSign sign,
+                                    absl::Time now) {
+  const bool was_down = detector.is_worker_down;
+  detector.is_worker_down = sign == WorkerSign::kClosesConnections ||
+                            (was_down && sign == WorkerSign::kUnknown);
   detector.broken_at = absl::InfiniteFuture();
-  detector.check_at = absl::InfiniteFuture();
+  detector.check_at = detector.is_worker_down
+                          ? now + detector.settings.down_probe_interval
+                          : absl::InfiniteFuture();
   std::vector<uint64_t> crashed = std::move(detector.broken_calls);
   detector.broken_calls.clear();
-  if (!has_crashed) {
+  if (was_down || !IsCrash(sign)) {
     crashed.clear();
   }
   return crashed;
 }
 
+void OnWorkerAnswered(CrashDetector& detector) {
+  if (detector.is_worker_down) {
+    detector.is_worker_down = false;
+    detector.check_at = absl::InfiniteFuture();
+  }
+}
+
 }  // namespace boragepaddle::quarantine
--- a/src/boragepaddle/quarantine/crash_detector.h
+++ b/src/boragepaddle/quarantine/crash_detector.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
 namespace boragepaddle::quarantine {
@@ -14,12 +15,34 @@
   absl::Duration settle_time = absl::Milliseconds(50);
   /// Time in which all connections to a crashed worker end.
   absl::Duration max_settle_time = absl::Seconds(1);
+  /// Interval at which a worker whose address closes all connections is probed.
+  absl::Duration down_probe_interval = absl::Milliseconds(100);
 };
 
-/// Detects crashes of the worker by calls that ended without an answer because
-/// their connection was closed. The worker has crashed if its older connections
-/// end too and it accepts no new one; otherwise it, or the network, only ended
-/// some connections.
+/// What a check has shown of the worker.
+enum class WorkerSign : uint8_t {
+  /// A connection from before the broken calls is still open.
+  kOlderConnectionOpen,
+  /// The worker accepts a connection and keeps it open.
+  kServing,
+  /// The node could not find out.
+  kUnknown,
+  /// The worker accepts no connection.
+  kNotAccepting,
+  /// The address accepts connections and closes them at once: something else
+  /// still listens there.
+  kClosesConnections,
+};
+
+/// True if the sign, after broken calls, shows that the worker has crashed.
+bool IsCrash(WorkerSign sign);
+
+/// Name in logs.
+absl::string_view ToString(WorkerSign sign);
+
+/// Detects crashes of the worker by calls that ended without an answer. The
+/// worker has crashed if its older connections end too and it serves no new
+/// one; otherwise it, or the network, only ended some connections.
 struct CrashDetector {
   CrashDetectorSettings settings;
   /// Fingerprints of the calls, and the end of the first of them.
@@ -27,6 +50,9 @@
   absl::Time broken_at = absl::InfiniteFuture();
   /// Next check; in the infinite future while none is due or one is running.
   absl::Time check_at = absl::InfiniteFuture();
+  /// The address closes all connections since a crash, so that calls break
+  /// without reaching the worker. Probed until this ends.
+  bool is_worker_down = false;
 };
 
 /// Next step of a check.
@@ -35,7 +61,7 @@
   kWait,
   /// Connect to the worker, and end the check with the result.
   kProbe,
-  /// End the check: the worker has kept older connections.
+  /// End the check with kOlderConnectionOpen.
   kEnd,
 };
 
@@ -52,9 +78,14 @@
                                  bool is_older_connection_open,
                                  absl::Time now);
 
-/// Ends the check. Returns the fingerprints of the broken calls if the worker
-/// has crashed.
-std::vector<uint64_t> EndCrashCheck(CrashDetector& detector, bool has_crashed);
+/// Ends the check. Returns the fingerprints of the broken calls if the sign
+/// shows a crash.
+std::vector<uint64_t> EndCrashCheck(CrashDetector& detector,
+                                    WorkerSign sign,
+                                    absl::Time now);
+
+/// The worker answered a call.
+void OnWorkerAnswered(CrashDetector& detector);
 
 }  // namespace boragepaddle::quarantine
 
--- a/tests/unit/accept_probe_test.cc
+++ b/tests/unit/accept_probe_test.cc
@@ -9,12 +9,10 @@
 namespace boragepaddle::event {
 namespace {
 
-constexpr absl::Duration kTimeout = absl::Seconds(2);
-
 std::vector<ProbeResult> RunProbe(boost::asio::io_context& loop,
                                   const Tcp::endpoint& endpoint) {
   std::vector<ProbeResult> results;
-  ProbeAccept(loop, endpoint, kTimeout,
+  ProbeAccept(loop, endpoint, ProbeSettings(),
               [&](ProbeResult result) { results.push_back(result); });
   CHECK(results.empty());
   loop.restart();
@@ -56,5 +54,20 @@
         std::vector<ProbeResult>{ProbeResult::kNotAccepted});
 }
 
+// Guards against a crash that goes unnoticed because something else listens at
+// the address of the worker.
+TEST_CASE("accept probe: an endpoint that closes connections does not serve") {
+  boost::asio::io_context loop;
+  Tcp::acceptor listener(
+      loop, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  listener.async_accept(
+      [](const boost::system::error_code& error, Tcp::socket socket) {
+        CHECK_FALSE(error);
+        socket.close();
+      });
+  CHECK(RunProbe(loop, listener.local_endpoint()) ==
+        std::vector<ProbeResult>{ProbeResult::kClosed});
+}
+
 }  // namespace
 }  // namespace boragepaddle::event
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -156,13 +156,13 @@
   }
   CHECK(AdvanceCrashCheck(detector, /*is_older_connection_open=*/true, at) ==
         CrashCheckStep::kEnd);
-  CHECK(EndCrashCheck(detector, /*has_crashed=*/false).empty());
+  CHECK(EndCrashCheck(detector, WorkerSign::kOlderConnectionOpen, at).empty());
   OnBrokenCall(detector, kFingerprint, at);
   OnBrokenCall(detector, 5, at);
   at += absl::Milliseconds(50);
   CHECK(AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at) ==
         CrashCheckStep::kProbe);
-  CHECK(EndCrashCheck(detector, /*has_crashed=*/true) ==
+  CHECK(EndCrashCheck(detector, WorkerSign::kNotAccepting, at) ==
         std::vector<uint64_t>{kFingerprint, 5});
   CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(1)));
 }
@@ -182,10 +182,40 @@
   CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(2)));
   OnBrokenCall(detector, 6, at);
   CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(2)));
-  CHECK(EndCrashCheck(detector, /*has_crashed=*/true) ==
+  CHECK(EndCrashCheck(detector, WorkerSign::kNotAccepting, at) ==
         std::vector<uint64_t>{kFingerprint, 5, 6});
 }
 
+// Guards against requests that are refused because they met the address of a
+// crashed worker, which closes connections before anything runs.
+TEST_CASE("quarantine: calls to a closing address are no evidence") {
+  CrashDetector detector;
+  OnBrokenCall(detector, kFingerprint, kNow);
+  absl::Time at = kNow + absl::Milliseconds(50);
+  REQUIRE(AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at) ==
+          CrashCheckStep::kProbe);
+  CHECK(EndCrashCheck(detector, WorkerSign::kClosesConnections, at) ==
+        std::vector<uint64_t>{kFingerprint});
+  CHECK(detector.is_worker_down);
+  OnBrokenCall(detector, 5, at);
+  at += absl::Milliseconds(100);
+  REQUIRE(AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at) ==
+          CrashCheckStep::kProbe);
+  CHECK(EndCrashCheck(detector, WorkerSign::kClosesConnections, at).empty());
+  at += absl::Milliseconds(100);
+  REQUIRE(IsCrashCheckDue(detector, at));
+  AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at);
+  CHECK(EndCrashCheck(detector, WorkerSign::kServing, at).empty());
+  CHECK_FALSE(detector.is_worker_down);
+  CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(1)));
+  // The next crash counts again.
+  OnBrokenCall(detector, 5, at);
+  at += absl::Milliseconds(50);
+  AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at);
+  CHECK(EndCrashCheck(detector, WorkerSign::kNotAccepting, at) ==
+        std::vector<uint64_t>{5});
+}
+
 // Guards against memory growing with the number of crashes.
 TEST_CASE("quarantine: a full table evicts suspects before rejected requests") {
   QuarantineState a = Node("a");
