Suspect calls that were cancelled or timed out before their worker ended

Callers saw a request that crashes workers reach one after the other when the worker ended some time after its client had left, or after the time limit of the request.

Cause: a crash counted against the calls that broke with it. A call that the node had cancelled was none of them, and without any broken call the end of the worker was not even looked for. Class: state that is dropped when its owner leaves, though its effect goes on.

The check starts when any connection ends after such a call, also an idle one, or a new one is refused.

--- a/src/boragepaddle/event/worker_connection.cc
+++ b/src/boragepaddle/event/worker_connection.cc
@@ -365,6 +365,9 @@
         }
         // Closed by the worker, or data that belongs to no request.
         self->Close();
+        if (self->pool.on_idle_closed) {
+          self->pool.on_idle_closed();
+        }
       });
 }
 
--- a/src/boragepaddle/event/worker_connection_pool.h
+++ b/src/boragepaddle/event/worker_connection_pool.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -99,6 +100,11 @@
   /// Closes idle connections that are about to reach the worker's idle timeout.
   void Tick(absl::Time now);
 
+  /// Called when the worker closes an idle connection.
+  void SetOnIdleClosed(std::function<void()> on_idle_closed) {
+    this->on_idle_closed = std::move(on_idle_closed);
+  }
+
   /// Opens a connection to the worker and closes it after a while. `done` is
   /// never called from within Probe.
   void Probe(const ProbeSettings& settings,
@@ -107,6 +113,9 @@
   /// True if a connection that was established before the time is still open.
   bool HasConnectionFrom(absl::Time before) const;
 
+  bool HasConnections() const {
+    return !this->idle.empty() || !this->busy.empty();
+  }
   size_t idle_connections() const { return this->idle.size(); }
   uint64_t opened() const { return this->opened_count; }
 
@@ -124,6 +133,7 @@
   const WorkerFieldNames names;
   MemoryBudget& memory;
   Tcp::endpoint worker;
+  std::function<void()> on_idle_closed;
   /// The most recently used connection is last.
   std::vector<std::shared_ptr<WorkerConnection>> idle;
   absl::flat_hash_map<uint64_t, std::shared_ptr<WorkerConnection>> busy;
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -92,6 +92,9 @@
   this->quarantine.settings.service = settings.service;
   this->quarantine.settings.vm_id = settings.vm_id;
   this->quarantine.settings.rejected_crashes = kRejectedCrashes;
+  this->pool.SetOnIdleClosed([this] {
+    quarantine::OnConnectionEnded(this->crash_detector, event::BootNow());
+  });
   this->OnDirectoryChanged();
 }
 
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -157,6 +157,9 @@
   /// Advances a due check for a crash of the worker, and repeats the reports of
   /// rejected requests for nodes that missed them.
   void TickCrashes(absl::Time now);
+  /// Keeps a connection to the worker for a while if there is no other one, so
+  /// that its end after an unanswered call is noticed.
+  void WatchWorker();
   /// Ends the check; reports a crash to the other nodes.
   void EndCrashCheck(quarantine::WorkerSign sign);
   void ApplyDecisions(const admission::SlotDecisions& actions, absl::Time now);
@@ -186,7 +189,7 @@
   schema::GateLoad CurrentLoad() const;
   void LogAnswer(const Call& call, const schema::HttpAnswer& answer);
   void LogCrash(quarantine::WorkerSign sign,
-                size_t broken_calls,
+                size_t unanswered_calls,
                 absl::Span<const schema::CrashReport> reports);
   void LogCrashNotConfirmed(quarantine::WorkerSign sign);
   /// Logs that the request is refused from now on. `source` tells who counted
@@ -204,6 +207,7 @@
   const ReportCrashes report_crashes;
   quarantine::QuarantineState quarantine;
   quarantine::CrashDetector crash_detector;
+  bool is_watching_worker = false;
   absl::Time crashes_reported_at = absl::InfinitePast();
   admission::WorkerLimiter limiter;
   admission::RecentMaximum call_times;
--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -124,11 +124,17 @@
     quarantine::OnWorkerAnswered(this->crash_detector);
   }
   // A worker that crashes may write bytes that are no answer before its
-  // connections end.
-  if (outcome == event::WorkerOutcome::kConnectionLost ||
-      outcome == event::WorkerOutcome::kInvalidResponse) {
-    quarantine::OnBrokenCall(this->crash_detector, fingerprint, now);
-  } else if (outcome == event::WorkerOutcome::kAnswered) {
+  // connections end, and may crash after the call was cancelled.
+  const bool is_broken = outcome == event::WorkerOutcome::kConnectionLost ||
+                         outcome == event::WorkerOutcome::kInvalidResponse;
+  if (is_broken || outcome == event::WorkerOutcome::kCancelled) {
+    quarantine::OnUnansweredCall(this->crash_detector, fingerprint, now);
+    this->WatchWorker();
+  }
+  if (is_broken || outcome == event::WorkerOutcome::kNotSent) {
+    quarantine::OnConnectionEnded(this->crash_detector, now);
+  }
+  if (outcome == event::WorkerOutcome::kAnswered) {
     const auto cleared =
         quarantine::OnCompleted(this->quarantine, fingerprint, now);
     if (cleared) {
@@ -141,7 +147,7 @@
 void WorkerProxy::TickCrashes(absl::Time now) {
   if (quarantine::IsCrashCheckDue(this->crash_detector, now)) {
     const bool is_open =
-        this->pool.HasConnectionFrom(this->crash_detector.broken_at);
+        this->pool.HasConnectionFrom(this->crash_detector.connection_ended_at);
     switch (quarantine::AdvanceCrashCheck(this->crash_detector, is_open, now)) {
       case quarantine::CrashCheckStep::kWait:
         break;
@@ -162,26 +168,41 @@
   }
 }
 
+void WorkerProxy::WatchWorker() {
+  if (this->is_watching_worker || this->pool.HasConnections()) {
+    return;
+  }
+  this->is_watching_worker = true;
+  event::ProbeSettings watch;
+  watch.hold_time = this->crash_detector.settings.suspicion_time;
+  this->pool.Probe(watch, [this](event::ProbeResult result) {
+    this->is_watching_worker = false;
+    if (quarantine::IsCrash(SignOf(result))) {
+      quarantine::OnConnectionEnded(this->crash_detector, event::BootNow());
+    }
+  });
+}
+
 void WorkerProxy::EndCrashCheck(quarantine::WorkerSign sign) {
   const absl::Time now = event::BootNow();
   const bool was_down = this->crash_detector.is_worker_down;
   if (!was_down && !quarantine::IsCrash(sign)) {
     this->LogCrashNotConfirmed(sign);
   }
-  const std::vector<uint64_t> broken =
+  const std::vector<uint64_t> suspects =
       quarantine::EndCrashCheck(this->crash_detector, sign, now);
   if (was_down && !this->crash_detector.is_worker_down) {
     this->log.LogState(telemetry::LogLine("worker", "back")
                            .Add("sign", quarantine::ToString(sign)));
   }
-  if (broken.empty()) {
+  if (suspects.empty()) {
     return;
   }
   const uint64_t crash_id = base::StableHash(
       {this->settings.vm_id, absl::StrCat(absl::ToUnixNanos(now))});
-  const auto reports = quarantine::OnWorkerCrash(this->quarantine, broken,
+  const auto reports = quarantine::OnWorkerCrash(this->quarantine, suspects,
                                                  crash_id, /*peers=*/{}, now);
-  this->LogCrash(sign, broken.size(), reports);
+  this->LogCrash(sign, suspects.size(), reports);
   for (const schema::CrashReport& report : reports) {
     if (report.crashes == kRejectedCrashes) {
       this->LogRejected(report, "this_node");
--- a/src/boragepaddle/proxy/worker_proxy_reports.cc
+++ b/src/boragepaddle/proxy/worker_proxy_reports.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <string>
-#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -85,14 +84,15 @@
 }
 
 void WorkerProxy::LogCrashNotConfirmed(quarantine::WorkerSign sign) {
-  const std::vector<uint64_t>& broken = this->crash_detector.broken_calls;
+  const auto& calls = this->crash_detector.unanswered;
   std::string requests;
-  for (size_t i = 0; i < std::min(broken.size(), kMaxLoggedSuspects); ++i) {
-    absl::StrAppend(&requests, i == 0 ? "" : ",", FormatFingerprint(broken[i]));
+  for (size_t i = 0; i < std::min(calls.size(), kMaxLoggedSuspects); ++i) {
+    absl::StrAppend(&requests, i == 0 ? "" : ",",
+                    FormatFingerprint(calls[i].fingerprint));
   }
   this->log.LogState(telemetry::LogLine("worker", "crash_not_confirmed")
                          .Add("sign", quarantine::ToString(sign))
-                         .Add("broken_calls", broken.size())
+                         .Add("unanswered_calls", calls.size())
                          .Add("fingerprints", requests));
 }
 
@@ -107,7 +107,7 @@
 }
 
 void WorkerProxy::LogCrash(quarantine::WorkerSign sign,
-                           size_t broken_calls,
+                           size_t unanswered_calls,
                            absl::Span<const schema::CrashReport> reports) {
   std::string suspects;
   for (const schema::CrashReport& report :
@@ -117,7 +117,7 @@
   }
   this->log.LogState(telemetry::LogLine("worker", "crashed")
                          .Add("sign", quarantine::ToString(sign))
-                         .Add("broken_calls", broken_calls)
+                         .Add("unanswered_calls", unanswered_calls)
                          .Add("suspects", reports.size())
                          .Add("crashes_by_suspect", suspects));
 }
--- a/src/boragepaddle/quarantine/crash_detector.cc
+++ b/src/boragepaddle/quarantine/crash_detector.cc
@@ -1,9 +1,23 @@
 #include "boragepaddle/quarantine/crash_detector.h"
 
-#include <utility>
+#include <algorithm>
 
 namespace boragepaddle::quarantine {
 
+namespace {
+
+/// Keeps the calls that were recent when the check in progress began.
+void ForgetOldCalls(CrashDetector& detector, absl::Time now) {
+  const absl::Time oldest = std::min(now, detector.connection_ended_at) -
+                            detector.settings.suspicion_time;
+  while (!detector.unanswered.empty() &&
+         detector.unanswered.front().ended_at < oldest) {
+    detector.unanswered.pop_front();
+  }
+}
+
+}  // namespace
+
 bool IsCrash(WorkerSign sign) {
   return sign == WorkerSign::kNotAccepting ||
          sign == WorkerSign::kClosesConnections;
@@ -25,17 +39,28 @@
   return "invalid";
 }
 
-void OnBrokenCall(CrashDetector& detector,
-                  uint64_t fingerprint,
-                  absl::Time now) {
+void OnUnansweredCall(CrashDetector& detector,
+                      uint64_t fingerprint,
+                      absl::Time now) {
   if (detector.is_worker_down) {
     return;
   }
-  if (detector.broken_calls.empty()) {
-    detector.broken_at = now;
-    detector.check_at = now + detector.settings.settle_time;
+  ForgetOldCalls(detector, now);
+  if (detector.unanswered.size() >= detector.settings.max_calls) {
+    detector.unanswered.pop_front();
   }
-  detector.broken_calls.push_back(fingerprint);
+  detector.unanswered.push_back({fingerprint, now});
+}
+
+void OnConnectionEnded(CrashDetector& detector, absl::Time now) {
+  const bool is_checking =
+      detector.connection_ended_at != absl::InfiniteFuture();
+  ForgetOldCalls(detector, now);
+  if (detector.is_worker_down || is_checking || detector.unanswered.empty()) {
+    return;
+  }
+  detector.connection_ended_at = now;
+  detector.check_at = now + detector.settings.settle_time;
 }
 
 bool IsCrashCheckDue(const CrashDetector& detector, absl::Time now) {
@@ -52,7 +77,7 @@
     detector.check_at = absl::InfiniteFuture();
     return CrashCheckStep::kProbe;
   }
-  if (now >= detector.broken_at + detector.settings.max_settle_time) {
+  if (now >= detector.connection_ended_at + detector.settings.max_settle_time) {
     return CrashCheckStep::kEnd;
   }
   detector.check_at = now + detector.settings.settle_time;
@@ -65,16 +90,21 @@
   const bool was_down = detector.is_worker_down;
   detector.is_worker_down = sign == WorkerSign::kClosesConnections ||
                             (was_down && sign == WorkerSign::kUnknown);
-  detector.broken_at = absl::InfiniteFuture();
+  detector.connection_ended_at = absl::InfiniteFuture();
   detector.check_at = detector.is_worker_down
                           ? now + detector.settings.down_probe_interval
                           : absl::InfiniteFuture();
-  std::vector<uint64_t> crashed = std::move(detector.broken_calls);
-  detector.broken_calls.clear();
+  std::vector<uint64_t> suspects;
   if (was_down || !IsCrash(sign)) {
-    crashed.clear();
+    return suspects;
+  }
+  for (const UnansweredCall& call : detector.unanswered) {
+    suspects.push_back(call.fingerprint);
   }
-  return crashed;
+  std::sort(suspects.begin(), suspects.end());
+  suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
+  detector.unanswered.clear();
+  return suspects;
 }
 
 void OnWorkerAnswered(CrashDetector& detector) {
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -17,6 +17,12 @@
   return state;
 }
 
+/// The connection of a call ends without an answer.
+void BreakCall(CrashDetector& detector, uint64_t fingerprint, absl::Time now) {
+  OnUnansweredCall(detector, fingerprint, now);
+  OnConnectionEnded(detector, now);
+}
+
 void Deliver(const std::vector<schema::CrashReport>& reports,
              QuarantineState& to) {
   for (const schema::CrashReport& report : reports) {
@@ -145,8 +151,8 @@
 TEST_CASE("quarantine: a worker that keeps a connection has not crashed") {
   CrashDetector detector;
   CHECK_FALSE(IsCrashCheckDue(detector, kNow));
-  OnBrokenCall(detector, kFingerprint, kNow);
-  OnBrokenCall(detector, 5, kNow + absl::Milliseconds(20));
+  BreakCall(detector, kFingerprint, kNow);
+  BreakCall(detector, 5, kNow + absl::Milliseconds(20));
   CHECK_FALSE(IsCrashCheckDue(detector, kNow + absl::Milliseconds(20)));
   absl::Time at = kNow + absl::Milliseconds(50);
   for (; at < kNow + absl::Seconds(1); at += absl::Milliseconds(50)) {
@@ -157,8 +163,8 @@
   CHECK(AdvanceCrashCheck(detector, /*is_older_connection_open=*/true, at) ==
         CrashCheckStep::kEnd);
   CHECK(EndCrashCheck(detector, WorkerSign::kOlderConnectionOpen, at).empty());
-  OnBrokenCall(detector, kFingerprint, at);
-  OnBrokenCall(detector, 5, at);
+  BreakCall(detector, kFingerprint, at);
+  BreakCall(detector, 5, at);
   at += absl::Milliseconds(50);
   CHECK(AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at) ==
         CrashCheckStep::kProbe);
@@ -171,33 +177,53 @@
 // ends later than the others.
 TEST_CASE("quarantine: a crash is found after the last connection has ended") {
   CrashDetector detector;
-  OnBrokenCall(detector, kFingerprint, kNow);
+  BreakCall(detector, kFingerprint, kNow);
   absl::Time at = kNow + absl::Milliseconds(50);
   CHECK(AdvanceCrashCheck(detector, /*is_older_connection_open=*/true, at) ==
         CrashCheckStep::kWait);
-  OnBrokenCall(detector, 5, at);
+  BreakCall(detector, 5, at);
   at += absl::Milliseconds(50);
   REQUIRE(AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at) ==
           CrashCheckStep::kProbe);
   CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(2)));
-  OnBrokenCall(detector, 6, at);
+  BreakCall(detector, 6, at);
   CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(2)));
   CHECK(EndCrashCheck(detector, WorkerSign::kNotAccepting, at) ==
         std::vector<uint64_t>{kFingerprint, 5, 6});
 }
 
+// Guards against a crash that is not counted against the request which caused
+// it, since that request was cancelled before its worker ended.
+TEST_CASE("quarantine: a cancelled call is a suspect of the next crash") {
+  CrashDetector detector;
+  OnUnansweredCall(detector, 7, kNow - absl::Seconds(4));
+  OnUnansweredCall(detector, kFingerprint, kNow);
+  CHECK_FALSE(IsCrashCheckDue(detector, kNow + absl::Seconds(1)));
+  const absl::Time closed = kNow + absl::Seconds(2);
+  OnConnectionEnded(detector, closed);
+  CHECK_FALSE(IsCrashCheckDue(detector, closed));
+  const absl::Time at = closed + absl::Milliseconds(50);
+  REQUIRE(AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at) ==
+          CrashCheckStep::kProbe);
+  CHECK(EndCrashCheck(detector, WorkerSign::kNotAccepting, at) ==
+        std::vector<uint64_t>{kFingerprint});
+  // Without such calls, a closed connection needs no check.
+  OnConnectionEnded(detector, at + absl::Seconds(1));
+  CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(2)));
+}
+
 // Guards against requests that are refused because they met the address of a
 // crashed worker, which closes connections before anything runs.
 TEST_CASE("quarantine: calls to a closing address are no evidence") {
   CrashDetector detector;
-  OnBrokenCall(detector, kFingerprint, kNow);
+  BreakCall(detector, kFingerprint, kNow);
   absl::Time at = kNow + absl::Milliseconds(50);
   REQUIRE(AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at) ==
           CrashCheckStep::kProbe);
   CHECK(EndCrashCheck(detector, WorkerSign::kClosesConnections, at) ==
         std::vector<uint64_t>{kFingerprint});
   CHECK(detector.is_worker_down);
-  OnBrokenCall(detector, 5, at);
+  BreakCall(detector, 5, at);
   at += absl::Milliseconds(100);
   REQUIRE(AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at) ==
           CrashCheckStep::kProbe);
@@ -209,7 +235,7 @@
   CHECK_FALSE(detector.is_worker_down);
   CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(1)));
   // The next crash counts again.
-  OnBrokenCall(detector, 5, at);
+  BreakCall(detector, 5, at);
   at += absl::Milliseconds(50);
   AdvanceCrashCheck(detector, /*is_older_connection_open=*/false, at);
   CHECK(EndCrashCheck(detector, WorkerSign::kNotAccepting, at) ==
