Gather the evidence about crashing requests by crash, not by request

Callers saw a request that crashes some workers of its service go on crashing them, since another worker completed it in between.

Cause: each node kept a count of crashes by request, and one completion at any worker removed it everywhere. The count could not tell who else was at the worker, nor where the request had completed. Class: an aggregate in place of the observations that it sums up.

Now a report names the crash, its VM and all suspects (WorkerCrash), and quarantine/crash_ledger draws the verdict from all crashes of the last minute. A crash is blamed on the suspects that most crashes name; three of them reject the request. A completion clears the crashes of its own VM; elsewhere, eight for each crash are needed. Completions are reported together. Requests of another service are another request. proxy/request_quarantine takes the bookkeeping and the messages out of the worker proxy.

--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -105,6 +105,11 @@
       store(MakeStore(this->settings, this->parts.store)),
       inbound_bodies(this->memory),
       workers(loop, FieldNames(this->parts.http), this->memory),
+      quarantine(this->settings,
+                 log,
+                 [this](const schema::Message& message) {
+                   this->SendToService(message);
+                 }),
       worker_side(this->settings,
                   this->parts.http,
                   this->store,
@@ -112,9 +117,7 @@
                   this->workers,
                   log,
                   this->metrics,
-                  [this](const std::vector<schema::CrashReport>& reports) {
-                    this->SendCrashReports(reports);
-                  }),
+                  this->quarantine),
       peers(loop, this->MakePeerEvents()),
       account_limiter(loop, this->settings, this->store, this->peers, log),
       router(loop,
@@ -275,6 +278,7 @@
     this->client_server.SetLimits(limits);
   }
   this->replicator.SetHosts(this->store.workers);
+  this->quarantine.OnSettingsChanged();
   this->worker_side.OnDirectoryChanged();
   this->router.OnDirectoryChanged();
   this->account_limiter.OnStateChanged();
@@ -340,9 +344,10 @@
                          static_cast<double>(this->replicator.subscribers()));
   this->metrics.SetGauge("feed_reads_store",
                          this->replicator.state().reading ? 1 : 0);
-  this->metrics.SetGauge(
-      "crash_suspects",
-      static_cast<double>(this->worker_side.CrashReports().size()));
+  this->metrics.SetGauge("crash_suspects",
+                         static_cast<double>(this->quarantine.suspects()));
+  this->metrics.SetGauge("rejected_requests",
+                         static_cast<double>(this->quarantine.rejections()));
   this->metrics.SetGauge("ready", this->IsReady() ? 1 : 0);
   this->metrics.SetGauge("memory_budget_used_bytes",
                          static_cast<double>(this->memory.used()));
@@ -383,6 +388,7 @@
   this->account_limiter.Tick(now);
   this->router.Tick(now);
   this->worker_side.Tick(now);
+  this->quarantine.Tick(now);
   this->ExpireCalls(now);
   this->BroadcastGrant(now);
   if (now - this->last_peer_tick >= kPeerTickInterval) {
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -96,8 +96,8 @@
   /// whose body is not complete at their deadline.
   void ExpireCalls(absl::Time now);
   void OnChannelClosed(const event::PeerChannelPtr& channel);
-  /// Sends crash reports to the other nodes of the service.
-  void SendCrashReports(const std::vector<schema::CrashReport>& reports);
+  /// Sends the message to the other nodes of the service.
+  void SendToService(const schema::Message& message);
   /// Connects to some nodes of the service, which then send their crash
   /// reports.
   void RequestCrashReports();
@@ -131,6 +131,7 @@
   event::BodySender body_sender;
   InboundBodies inbound_bodies;
   event::WorkerConnectionPool workers;
+  RequestQuarantine quarantine;
   WorkerProxy worker_side;
   PeerNetwork peers;
   AccountLimiter account_limiter;
--- a/src/boragepaddle/proxy/proxy_node_peers.cc
+++ b/src/boragepaddle/proxy/proxy_node_peers.cc
@@ -48,7 +48,8 @@
 
 void ProxyNode::OnPeerMessage(const PeerChannelPtr& channel,
                               schema::Message& message) {
-  if (this->account_limiter.OnMessage(channel, message)) {
+  if (this->account_limiter.OnMessage(channel, message) ||
+      this->quarantine.OnMessage(message, event::BootNow())) {
     return;
   }
   if (auto* call = std::get_if<schema::HttpCall>(&message)) {
@@ -67,8 +68,6 @@
     this->OnPeerHello(channel, *hello);
   } else if (const auto* notice = std::get_if<schema::LoadNotice>(&message)) {
     this->router.OnLoadNotice(channel->host, *notice);
-  } else if (const auto* report = std::get_if<schema::CrashReport>(&message)) {
-    this->worker_side.OnCrashReport(*report);
   } else if (const auto* resume = std::get_if<schema::CallResume>(&message)) {
     this->OnPeerResume(channel, *resume);
   } else if (const auto* states = std::get_if<schema::CallStates>(&message)) {
@@ -100,7 +99,8 @@
   }
   this->replicator.OnHello(channel);
   if (hello.service == this->settings.service) {
-    for (const schema::CrashReport& report : this->worker_side.CrashReports()) {
+    for (const schema::Message& report :
+         this->quarantine.ReportsFor(hello.service, event::BootNow())) {
       channel->Send(report);
     }
   }
@@ -109,11 +109,7 @@
   }
 }
 
-void ProxyNode::SendCrashReports(
-    const std::vector<schema::CrashReport>& reports) {
-  if (reports.empty()) {
-    return;
-  }
+void ProxyNode::SendToService(const schema::Message& message) {
   for (const auto& [instance, worker] : this->store.workers.entries) {
     if (worker.service != this->settings.service ||
         worker.host == this->settings.host) {
@@ -121,10 +117,8 @@
     }
     const PeerChannelPtr channel =
         this->peers.ChannelTo(worker.host, this->settings.peer_port);
-    for (const schema::CrashReport& report : reports) {
-      if (channel != nullptr) {
-        channel->Send(report);
-      }
+    if (channel != nullptr) {
+      channel->Send(message);
     }
   }
 }
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
-#include "boragepaddle/base/stable_hash.h"
 #include "boragepaddle/event/clock.h"
+#include "boragepaddle/quarantine/request_fingerprint.h"
 
 namespace boragepaddle::proxy {
 
@@ -23,16 +22,16 @@
 /// A call with less time left is not sent to the worker.
 constexpr absl::Duration kMinTimeLeft = absl::Milliseconds(5);
 
-/// Equal for all attempts of a request by the clients of one service, at any
-/// node. Workers may handle another caller or authority differently, so that
-/// its requests neither clear nor incriminate this one.
-uint64_t Fingerprint(const schema::HttpCall& call,
-                     const event::SharedBody& body) {
-  const std::string authority =
-      absl::AsciiStrToLower(event::FieldValue(call.fields, "Host"));
-  return base::StableHash({call.method, authority, call.target,
-                           call.origin_service,
-                           body == nullptr ? call.body : *body});
+uint64_t FingerprintOf(const schema::HttpCall& call,
+                       const event::SharedBody& body) {
+  quarantine::RequestIdentity request;
+  request.service = call.service;
+  request.method = call.method;
+  request.authority = event::FieldValue(call.fields, "Host");
+  request.target = call.target;
+  request.origin_service = call.origin_service;
+  request.body = body == nullptr ? call.body : *body;
+  return quarantine::Fingerprint(request);
 }
 
 Outcome OutcomeOf(event::WorkerOutcome end) {
@@ -78,7 +77,7 @@
                          event::WorkerConnectionPool& pool,
                          telemetry::EventLog& log,
                          telemetry::RequestMetrics& metrics,
-                         ReportCrashes report_crashes)
+                         RequestQuarantine& quarantine)
     : settings(settings),
       dialect(dialect),
       store(store),
@@ -86,12 +85,9 @@
       pool(pool),
       log(log),
       metrics(metrics),
-      report_crashes(std::move(report_crashes)),
+      quarantine(quarantine),
       limiter(
           admission::MakeWorkerLimiter(admission::WorkerLimiterSettings())) {
-  this->quarantine.settings.service = settings.service;
-  this->quarantine.settings.vm_id = settings.vm_id;
-  this->quarantine.settings.rejected_crashes = kRejectedCrashes;
   this->pool.SetOnIdleClosed([this] {
     quarantine::OnConnectionEnded(this->crash_detector, event::BootNow());
   });
@@ -105,11 +101,6 @@
 
 void WorkerProxy::OnDirectoryChanged() {
   const catalog::WorkerEntry* worker = this->LocalWorker();
-  if (this->quarantine.settings.service != this->settings.service) {
-    // A reload moved the node to another service.
-    this->quarantine.suspects.clear();
-    this->quarantine.settings.service = this->settings.service;
-  }
   this->limiter.slots = worker == nullptr ? kDefaultSlots : worker->slots;
   if (worker != nullptr && worker->instance != this->rate_limited_instance) {
     this->rate_limited_instance = worker->instance;
@@ -153,8 +144,7 @@
   if (this->shutdown.refuses_calls || this->OutlastsProcess(call, now)) {
     return Reason::kLeaving;
   }
-  if (quarantine::DecideAdmission(this->quarantine, call.fingerprint, now) ==
-      quarantine::QuarantineDecision::kReject) {
+  if (this->quarantine.IsRejected(call.fingerprint, now)) {
     return Reason::kQuarantined;
   }
   if (this->crash_detector.is_worker_down) {
@@ -184,7 +174,7 @@
   Call& call = this->calls[id];
   call.message = std::move(message);
   call.body = std::move(body);
-  call.fingerprint = Fingerprint(call.message, call.body);
+  call.fingerprint = FingerprintOf(call.message, call.body);
   call.route = this->RouteOf(call.message);
   call.reply = std::move(reply);
   call.arrived = now;
@@ -424,7 +414,7 @@
 }
 
 void WorkerProxy::Tick(absl::Time now) {
-  this->TickCrashes(now);
+  this->TickCrashCheck(now);
   this->ApplyDecisions(admission::OnLimiterTick(this->limiter, now), now);
   this->admission_rate_input.queued =
       static_cast<uint32_t>(this->limiter.queue.size());
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -20,10 +20,10 @@
 #include "boragepaddle/proxy/capacity_refusal.h"
 #include "boragepaddle/proxy/dialect.h"
 #include "boragepaddle/proxy/node_settings.h"
+#include "boragepaddle/proxy/request_quarantine.h"
 #include "boragepaddle/proxy/shutdown_state.h"
 #include "boragepaddle/proxy/store_state.h"
 #include "boragepaddle/quarantine/crash_detector.h"
-#include "boragepaddle/quarantine/quarantine.h"
 #include "boragepaddle/schema/messages.h"
 #include "boragepaddle/telemetry/event_log.h"
 #include "boragepaddle/telemetry/request_metrics.h"
@@ -33,11 +33,6 @@
 /// Rates and shares in messages are in thousandths.
 inline constexpr double kRateUnit = 1000;
 
-/// Worker crashes after which a request is refused: the users' rules count what
-/// is sent after the third. With fewer, requests that only ran beside crashes
-/// of many workers were refused.
-inline constexpr uint32_t kRejectedCrashes = 3;
-
 /// Properties that nested calls inherit from a running request.
 struct ParentCall {
   uint32_t priority = 0;
@@ -54,9 +49,6 @@
   /// The reservation is that of the answer's body if it is large.
   using Reply =
       std::function<void(schema::HttpAnswer, event::MemoryReservation)>;
-  /// Sends crash reports to the other nodes of the service.
-  using ReportCrashes =
-      std::function<void(const std::vector<schema::CrashReport>&)>;
 
   WorkerProxy(const NodeSettings& settings,
               const HttpDialect& dialect,
@@ -65,7 +57,7 @@
               event::WorkerConnectionPool& pool,
               telemetry::EventLog& log,
               telemetry::RequestMetrics& metrics,
-              ReportCrashes report_crashes);
+              RequestQuarantine& quarantine);
 
   /// Returns an id for Cancel. The reply may be invoked before this returns.
   /// `body` replaces the body of the message unless it is null.
@@ -100,11 +92,6 @@
   void AddNestedUse(absl::string_view request_id,
                     absl::Span<const schema::ServiceUse> use);
 
-  /// Another node of the service reported a crash of its worker.
-  void OnCrashReport(const schema::CrashReport& report);
-  /// What this node knows of requests that crashed workers of the service.
-  std::vector<schema::CrashReport> CrashReports() const;
-
   schema::LoadNotice MakeLoadNotice() const;
   void LogLoad();
   /// Sets the gauges about the speed of the worker's machine.
@@ -154,9 +141,8 @@
   /// True if the process stops and is expected to end before the call does.
   bool OutlastsProcess(const Call& call, absl::Time now) const;
   schema::Reason CheckCall(const Call& call, absl::Time now) const;
-  /// Advances a due check for a crash of the worker, and repeats the reports of
-  /// rejected requests for nodes that missed them.
-  void TickCrashes(absl::Time now);
+  /// Advances a due check for a crash of the worker.
+  void TickCrashCheck(absl::Time now);
   /// Keeps a connection to the worker for a while if there is no other one, so
   /// that its end after an unanswered call is noticed.
   void WatchWorker();
@@ -188,14 +174,7 @@
   event::WorkerRequest MakeRequest(Call& call, absl::Time now) const;
   schema::GateLoad CurrentLoad() const;
   void LogAnswer(const Call& call, const schema::HttpAnswer& answer);
-  void LogCrash(quarantine::WorkerSign sign,
-                size_t unanswered_calls,
-                absl::Span<const schema::CrashReport> reports);
   void LogCrashNotConfirmed(quarantine::WorkerSign sign);
-  /// Logs that the request is refused from now on. `source` tells who counted
-  /// its last crash.
-  void LogRejected(const schema::CrashReport& report, absl::string_view source);
-  void LogSuspectCleared(const schema::CrashReport& report);
 
   const NodeSettings& settings;
   const HttpDialect& dialect;
@@ -204,11 +183,9 @@
   event::WorkerConnectionPool& pool;
   telemetry::EventLog& log;
   telemetry::RequestMetrics& metrics;
-  const ReportCrashes report_crashes;
-  quarantine::QuarantineState quarantine;
+  RequestQuarantine& quarantine;
   quarantine::CrashDetector crash_detector;
   bool is_watching_worker = false;
-  absl::Time crashes_reported_at = absl::InfinitePast();
   admission::WorkerLimiter limiter;
   admission::RecentMaximum call_times;
   /// Times from arrival to answer, by route.
--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -6,9 +6,7 @@
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
-#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
-#include "boragepaddle/base/stable_hash.h"
 #include "boragepaddle/event/clock.h"
 #include "boragepaddle/proxy/worker_proxy.h"
 
@@ -19,10 +17,6 @@
 
 namespace {
 
-/// Interval at which reports of rejected requests are repeated. Shorter than
-/// the time after which a node that was cut off counts as reachable again.
-constexpr absl::Duration kCrashReportInterval = absl::Seconds(1);
-
 /// Statuses from this one on are failures of the worker.
 constexpr uint32_t kFirstFailureStatus = 500;
 
@@ -135,36 +129,28 @@
     quarantine::OnConnectionEnded(this->crash_detector, now);
   }
   if (outcome == event::WorkerOutcome::kAnswered) {
-    const auto cleared =
-        quarantine::OnCompleted(this->quarantine, fingerprint, now);
-    if (cleared) {
-      this->LogSuspectCleared(*cleared);
-      this->report_crashes({*cleared});
-    }
+    this->quarantine.OnCompleted(fingerprint, now);
   }
 }
 
-void WorkerProxy::TickCrashes(absl::Time now) {
-  if (quarantine::IsCrashCheckDue(this->crash_detector, now)) {
-    const bool is_open =
-        this->pool.HasConnectionFrom(this->crash_detector.connection_ended_at);
-    switch (quarantine::AdvanceCrashCheck(this->crash_detector, is_open, now)) {
-      case quarantine::CrashCheckStep::kWait:
-        break;
-      case quarantine::CrashCheckStep::kProbe:
-        this->pool.Probe(event::ProbeSettings(),
-                         [this](event::ProbeResult result) {
-                           this->EndCrashCheck(SignOf(result));
-                         });
-        break;
-      case quarantine::CrashCheckStep::kEnd:
-        this->EndCrashCheck(quarantine::WorkerSign::kOlderConnectionOpen);
-        break;
-    }
+void WorkerProxy::TickCrashCheck(absl::Time now) {
+  if (!quarantine::IsCrashCheckDue(this->crash_detector, now)) {
+    return;
   }
-  if (now - this->crashes_reported_at >= kCrashReportInterval) {
-    this->crashes_reported_at = now;
-    this->report_crashes(quarantine::OwnRejections(this->quarantine, now));
+  const bool is_open =
+      this->pool.HasConnectionFrom(this->crash_detector.connection_ended_at);
+  switch (quarantine::AdvanceCrashCheck(this->crash_detector, is_open, now)) {
+    case quarantine::CrashCheckStep::kWait:
+      break;
+    case quarantine::CrashCheckStep::kProbe:
+      this->pool.Probe(event::ProbeSettings(),
+                       [this](event::ProbeResult result) {
+                         this->EndCrashCheck(SignOf(result));
+                       });
+      break;
+    case quarantine::CrashCheckStep::kEnd:
+      this->EndCrashCheck(quarantine::WorkerSign::kOlderConnectionOpen);
+      break;
   }
 }
 
@@ -195,38 +181,9 @@
     this->log.LogState(telemetry::LogLine("worker", "back")
                            .Add("sign", quarantine::ToString(sign)));
   }
-  if (suspects.empty()) {
-    return;
-  }
-  const uint64_t crash_id = base::StableHash(
-      {this->settings.vm_id, absl::StrCat(absl::ToUnixNanos(now))});
-  const auto reports = quarantine::OnWorkerCrash(this->quarantine, suspects,
-                                                 crash_id, /*peers=*/{}, now);
-  this->LogCrash(sign, suspects.size(), reports);
-  for (const schema::CrashReport& report : reports) {
-    if (report.crashes == kRejectedCrashes) {
-      this->LogRejected(report, "this_node");
-    }
+  if (!suspects.empty()) {
+    this->quarantine.OnLocalCrash(suspects, quarantine::ToString(sign), now);
   }
-  this->report_crashes(reports);
-}
-
-void WorkerProxy::OnCrashReport(const schema::CrashReport& report) {
-  const absl::Time now = event::BootNow();
-  const auto is_rejected = [&] {
-    return quarantine::DecideAdmission(this->quarantine, report.fingerprint,
-                                       now) ==
-           quarantine::QuarantineDecision::kReject;
-  };
-  const bool was_rejected = is_rejected();
-  quarantine::OnCrashReport(this->quarantine, report, now);
-  if (!was_rejected && is_rejected()) {
-    this->LogRejected(report, "report");
-  }
-}
-
-std::vector<schema::CrashReport> WorkerProxy::CrashReports() const {
-  return quarantine::AllReports(this->quarantine, event::BootNow());
 }
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/worker_proxy_reports.cc
+++ b/src/boragepaddle/proxy/worker_proxy_reports.cc
@@ -26,12 +26,6 @@
 
 }  // namespace
 
-void WorkerProxy::LogSuspectCleared(const schema::CrashReport& report) {
-  this->log.LogState(
-      telemetry::LogLine("worker", "suspect_cleared")
-          .Add("fingerprint", FormatFingerprint(report.fingerprint)));
-}
-
 void WorkerProxy::LogAnswer(const Call& call,
                             const schema::HttpAnswer& answer) {
   const bool served = answer.outcome == Outcome::kCompleted &&
@@ -96,32 +90,6 @@
                          .Add("fingerprints", requests));
 }
 
-void WorkerProxy::LogRejected(const schema::CrashReport& report,
-                              absl::string_view source) {
-  this->log.LogState(
-      telemetry::LogLine("worker", "request_rejected")
-          .Add("fingerprint", FormatFingerprint(report.fingerprint))
-          .Add("crashes", report.crashes)
-          .Add("source", source)
-          .Add("expires_in_s", report.expiry_us / 1000000));
-}
-
-void WorkerProxy::LogCrash(quarantine::WorkerSign sign,
-                           size_t unanswered_calls,
-                           absl::Span<const schema::CrashReport> reports) {
-  std::string suspects;
-  for (const schema::CrashReport& report :
-       reports.subspan(0, kMaxLoggedSuspects)) {
-    absl::StrAppend(&suspects, suspects.empty() ? "" : ",",
-                    FormatFingerprint(report.fingerprint), ":", report.crashes);
-  }
-  this->log.LogState(telemetry::LogLine("worker", "crashed")
-                         .Add("sign", quarantine::ToString(sign))
-                         .Add("unanswered_calls", unanswered_calls)
-                         .Add("suspects", reports.size())
-                         .Add("crashes_by_suspect", suspects));
-}
-
 void WorkerProxy::SetSpeedGauges() {
   const absl::Time now = event::BootNow();
   const admission::MachineSpeed& speed = this->limiter.speed;
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -461,6 +461,34 @@
   return !(a == b);
 }
 
+bool operator==(const WorkerCrash& a, const WorkerCrash& b) {
+  return a.service == b.service && a.vm_id == b.vm_id &&
+         a.crash_id == b.crash_id && a.expiry_us == b.expiry_us &&
+         a.suspects == b.suspects;
+}
+
+bool operator!=(const WorkerCrash& a, const WorkerCrash& b) {
+  return !(a == b);
+}
+
+bool operator==(const SuspectCompletions& a, const SuspectCompletions& b) {
+  return a.service == b.service && a.vm_id == b.vm_id &&
+         a.fingerprint == b.fingerprint && a.count == b.count;
+}
+
+bool operator!=(const SuspectCompletions& a, const SuspectCompletions& b) {
+  return !(a == b);
+}
+
+bool operator==(const RequestRejection& a, const RequestRejection& b) {
+  return a.service == b.service && a.fingerprint == b.fingerprint &&
+         a.crashes == b.crashes && a.expiry_us == b.expiry_us;
+}
+
+bool operator!=(const RequestRejection& a, const RequestRejection& b) {
+  return !(a == b);
+}
+
 bool operator==(const CreditRequest& a, const CreditRequest& b) {
   return a.request_id == b.request_id && a.account == b.account &&
          a.wanted == b.wanted && a.expected == b.expected &&
@@ -1178,6 +1206,59 @@
   return reader.ok();
 }
 
+void Pack(Packer& packer, const WorkerCrash& value) {
+  packer.pack_array(5);
+  Pack(packer, value.service);
+  Pack(packer, value.vm_id);
+  Pack(packer, value.crash_id);
+  Pack(packer, value.expiry_us);
+  Pack(packer, value.suspects);
+}
+
+bool Unpack(const msgpack::object& object, WorkerCrash* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->service);
+  reader.Next(&value->vm_id);
+  reader.Next(&value->crash_id);
+  reader.Next(&value->expiry_us);
+  reader.Next(&value->suspects);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const SuspectCompletions& value) {
+  packer.pack_array(4);
+  Pack(packer, value.service);
+  Pack(packer, value.vm_id);
+  Pack(packer, value.fingerprint);
+  Pack(packer, value.count);
+}
+
+bool Unpack(const msgpack::object& object, SuspectCompletions* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->service);
+  reader.Next(&value->vm_id);
+  reader.Next(&value->fingerprint);
+  reader.Next(&value->count);
+  return reader.ok();
+}
+
+void Pack(Packer& packer, const RequestRejection& value) {
+  packer.pack_array(4);
+  Pack(packer, value.service);
+  Pack(packer, value.fingerprint);
+  Pack(packer, value.crashes);
+  Pack(packer, value.expiry_us);
+}
+
+bool Unpack(const msgpack::object& object, RequestRejection* value) {
+  ArrayReader reader(object);
+  reader.Next(&value->service);
+  reader.Next(&value->fingerprint);
+  reader.Next(&value->crashes);
+  reader.Next(&value->expiry_us);
+  return reader.ok();
+}
+
 void Pack(Packer& packer, const CreditRequest& value) {
   packer.pack_array(7);
   Pack(packer, value.request_id);
@@ -1355,6 +1436,12 @@
       return DecodeAs<PeerClosing>(fields);
     case 44:
       return DecodeAs<BodyPiece>(fields);
+    case 48:
+      return DecodeAs<WorkerCrash>(fields);
+    case 49:
+      return DecodeAs<SuspectCompletions>(fields);
+    case 50:
+      return DecodeAs<RequestRejection>(fields);
     case 45:
       return DecodeAs<CreditRequest>(fields);
     case 46:
@@ -1478,6 +1565,18 @@
   return 44;
 }
 
+uint32_t KindOf(const WorkerCrash& /*message*/) {
+  return 48;
+}
+
+uint32_t KindOf(const SuspectCompletions& /*message*/) {
+  return 49;
+}
+
+uint32_t KindOf(const RequestRejection& /*message*/) {
+  return 50;
+}
+
 uint32_t KindOf(const CreditRequest& /*message*/) {
   return 45;
 }
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -606,6 +606,47 @@
 bool operator==(const BodyPiece& a, const BodyPiece& b);
 bool operator!=(const BodyPiece& a, const BodyPiece& b);
 
+/// A worker of the service crashed.
+struct WorkerCrash {
+  std::string service;
+  /// VM of the worker.
+  std::string vm_id;
+  /// Identifies the crash, so that duplicate reports are counted once.
+  uint64_t crash_id = 0;
+  /// Time until the report expires, in microseconds.
+  int64_t expiry_us = 0;
+  /// Fingerprints of the requests that may have caused it.
+  std::vector<uint64_t> suspects;
+};
+/// Compares all fields.
+bool operator==(const WorkerCrash& a, const WorkerCrash& b);
+bool operator!=(const WorkerCrash& a, const WorkerCrash& b);
+
+/// The sender's worker completed a suspect of a crash.
+struct SuspectCompletions {
+  std::string service;
+  std::string vm_id;
+  uint64_t fingerprint = 0;
+  /// Completions since the last such message.
+  uint32_t count = 0;
+};
+/// Compares all fields.
+bool operator==(const SuspectCompletions& a, const SuspectCompletions& b);
+bool operator!=(const SuspectCompletions& a, const SuspectCompletions& b);
+
+/// A request that crashes workers, and that no node may pass on.
+struct RequestRejection {
+  /// Service whose workers it crashed.
+  std::string service;
+  uint64_t fingerprint = 0;
+  uint32_t crashes = 0;
+  /// Time until the rejection ends, in microseconds.
+  int64_t expiry_us = 0;
+};
+/// Compares all fields.
+bool operator==(const RequestRejection& a, const RequestRejection& b);
+bool operator!=(const RequestRejection& a, const RequestRejection& b);
+
 /// Asks for credit of a client account's rate limit.
 struct CreditRequest {
   /// Unique within one process run of the sender.
@@ -724,6 +765,9 @@
                              CallStates,
                              PeerClosing,
                              BodyPiece,
+                             WorkerCrash,
+                             SuspectCompletions,
+                             RequestRejection,
                              CreditRequest,
                              CreditGrant,
                              CreditHandover,
