Keep rejections of crashing requests outside the service that they crash

Callers saw a request that had been refused reach workers again, and crash them with all that they ran, after all nodes of its service had been killed together, as in a herd_kill or a rolling restart that overlaps kills.

Cause: only the nodes of the service knew which requests crash its workers, though the nodes that send them run on. Class: knowledge that shares the fate of what it protects.

Now a refusal tells the sending node how long the request is rejected, and that node refuses it itself. A rejection also goes to eight nodes of other services, chosen by rendezvous hashing. Each new connection to a node of a service brings its rejections, and a new process connects to the same eight. A node with reports of its own connects once a second to those that it has no connection to, so that a report that could not be delivered arrives later.

--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -105,11 +105,15 @@
       store(MakeStore(this->settings, this->parts.store)),
       inbound_bodies(this->memory),
       workers(loop, FieldNames(this->parts.http), this->memory),
-      quarantine(this->settings,
-                 log,
-                 [this](const schema::Message& message) {
-                   this->SendToService(message);
-                 }),
+      quarantine(
+          this->settings,
+          log,
+          [this](const schema::Message& message) {
+            this->SendTo(this->ServiceHosts(), message);
+          },
+          [this](const schema::Message& message) {
+            this->SendTo(this->WitnessHosts(), message);
+          }),
       worker_side(this->settings,
                   this->parts.http,
                   this->store,
@@ -126,6 +130,7 @@
              this->store,
              this->shutdown,
              this->worker_side,
+             this->quarantine,
              this->peers,
              this->account_limiter,
              this->body_sender,
@@ -389,6 +394,7 @@
   this->router.Tick(now);
   this->worker_side.Tick(now);
   this->quarantine.Tick(now);
+  this->ConnectForReports(now);
   this->ExpireCalls(now);
   this->BroadcastGrant(now);
   if (now - this->last_peer_tick >= kPeerTickInterval) {
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "absl/types/span.h"
 #include "boragepaddle/event/body_sender.h"
 #include "boragepaddle/event/http_server.h"
 #include "boragepaddle/event/key_value_source.h"
@@ -21,6 +23,7 @@
 #include "boragepaddle/proxy/inbound_bodies.h"
 #include "boragepaddle/proxy/node_settings.h"
 #include "boragepaddle/proxy/peer_network.h"
+#include "boragepaddle/proxy/request_quarantine.h"
 #include "boragepaddle/proxy/request_router.h"
 #include "boragepaddle/proxy/shutdown_state.h"
 #include "boragepaddle/proxy/store_replicator.h"
@@ -96,11 +99,18 @@
   /// whose body is not complete at their deadline.
   void ExpireCalls(absl::Time now);
   void OnChannelClosed(const event::PeerChannelPtr& channel);
-  /// Sends the message to the other nodes of the service.
-  void SendToService(const schema::Message& message);
-  /// Connects to some nodes of the service, which then send their crash
-  /// reports.
+  /// Hosts of the other nodes of the service.
+  std::vector<std::string> ServiceHosts() const;
+  /// Hosts of nodes of other services that keep the rejections of the service.
+  std::vector<std::string> WitnessHosts() const;
+  void SendTo(absl::Span<const std::string> hosts,
+              const schema::Message& message);
+  /// Connects to some nodes, which then send their crash reports and
+  /// rejections.
   void RequestCrashReports();
+  /// Connects to nodes that may have missed what this node reported. They get
+  /// the reports on the new connection.
+  void ConnectForReports(absl::Time now);
   void OnClientIncident(const event::HttpServerIncident& incident);
   void OnReadyProbe(const std::shared_ptr<event::HttpExchange>& exchange);
   void OnMetricsRequest(const std::shared_ptr<event::HttpExchange>& exchange);
@@ -156,6 +166,7 @@
   bool peers_told_of_end = false;
   bool was_ready = false;
   bool requested_crash_reports = false;
+  absl::Time connected_for_reports_at = absl::InfinitePast();
 };
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/proxy_node_peers.cc
+++ b/src/boragepaddle/proxy/proxy_node_peers.cc
@@ -1,8 +1,13 @@
+#include <algorithm>
+#include <iterator>
+#include <string>
 #include <utility>
 #include <vector>
 
+#include "absl/algorithm/container.h"
 #include "boragepaddle/event/clock.h"
 #include "boragepaddle/proxy/proxy_node.h"
+#include "boragepaddle/quarantine/witnesses.h"
 
 // Messages between nodes: calls, replication of the store, and load.
 
@@ -22,6 +27,15 @@
 /// Nodes of the service that a new process asks for crash reports.
 constexpr size_t kCrashReportSources = 3;
 
+/// Nodes of other services that keep the rejections of a service. With six in
+/// ten of all nodes killed at once, all of them are among these in 2 of 100
+/// cases.
+constexpr size_t kWitnesses = 8;
+
+/// Interval at which a node with reports connects to nodes that it is not
+/// connected to.
+constexpr absl::Duration kReportConnectInterval = absl::Seconds(1);
+
 }  // namespace
 
 PeerNetworkEvents ProxyNode::MakePeerEvents() {
@@ -98,25 +112,44 @@
                           channel->number);
   }
   this->replicator.OnHello(channel);
-  if (hello.service == this->settings.service) {
-    for (const schema::Message& report :
-         this->quarantine.ReportsFor(hello.service, event::BootNow())) {
-      channel->Send(report);
-    }
+  const bool is_witness =
+      this->quarantine.has_rejections() &&
+      absl::c_linear_search(this->WitnessHosts(), hello.host);
+  for (const schema::Message& report : this->quarantine.ReportsFor(
+           hello.service, is_witness, event::BootNow())) {
+    channel->Send(report);
   }
   if (this->shutdown.started_at != absl::InfiniteFuture()) {
     channel->Send(this->worker_side.MakeLoadNotice());
   }
 }
 
-void ProxyNode::SendToService(const schema::Message& message) {
+std::vector<std::string> ProxyNode::ServiceHosts() const {
+  std::vector<std::string> hosts;
   for (const auto& [instance, worker] : this->store.workers.entries) {
-    if (worker.service != this->settings.service ||
-        worker.host == this->settings.host) {
-      continue;
+    if (worker.service == this->settings.service &&
+        worker.host != this->settings.host) {
+      hosts.push_back(worker.host);
     }
+  }
+  return hosts;
+}
+
+std::vector<std::string> ProxyNode::WitnessHosts() const {
+  std::vector<std::string> hosts;
+  for (const auto& [instance, worker] : this->store.workers.entries) {
+    if (worker.service != this->settings.service) {
+      hosts.push_back(worker.host);
+    }
+  }
+  return quarantine::ChooseWitnesses(hosts, this->settings.service, kWitnesses);
+}
+
+void ProxyNode::SendTo(absl::Span<const std::string> hosts,
+                       const schema::Message& message) {
+  for (const std::string& host : hosts) {
     const PeerChannelPtr channel =
-        this->peers.ChannelTo(worker.host, this->settings.peer_port);
+        this->peers.ChannelTo(host, this->settings.peer_port);
     if (channel != nullptr) {
       channel->Send(message);
     }
@@ -124,16 +157,28 @@
 }
 
 void ProxyNode::RequestCrashReports() {
-  size_t sources = 0;
-  for (const auto& [instance, worker] : this->store.workers.entries) {
-    if (sources < kCrashReportSources && worker.host != this->settings.host &&
-        worker.service == this->settings.service &&
-        this->peers.ChannelTo(worker.host, this->settings.peer_port) !=
-            nullptr) {
-      ++sources;
-    }
+  std::vector<std::string> hosts = this->ServiceHosts();
+  hosts.resize(std::min(hosts.size(), kCrashReportSources));
+  absl::c_copy(this->WitnessHosts(), std::back_inserter(hosts));
+  for (const std::string& host : hosts) {
+    this->requested_crash_reports |=
+        this->peers.ChannelTo(host, this->settings.peer_port) != nullptr;
+  }
+}
+
+void ProxyNode::ConnectForReports(absl::Time now) {
+  if (now - this->connected_for_reports_at < kReportConnectInterval) {
+    return;
+  }
+  this->connected_for_reports_at = now;
+  if (!this->quarantine.HasOwnEvidence()) {
+    return;
+  }
+  std::vector<std::string> hosts = this->ServiceHosts();
+  absl::c_copy(this->WitnessHosts(), std::back_inserter(hosts));
+  for (const std::string& host : hosts) {
+    this->peers.ChannelTo(host, this->settings.peer_port);
   }
-  this->requested_crash_reports = sources > 0;
 }
 
 // Calls that arrive after this message are ignored, so that "never received" is
--- a/src/boragepaddle/proxy/request_quarantine.cc
+++ b/src/boragepaddle/proxy/request_quarantine.cc
@@ -32,10 +32,12 @@
 
 RequestQuarantine::RequestQuarantine(const NodeSettings& settings,
                                      telemetry::EventLog& log,
-                                     GroupSend send_to_service)
+                                     GroupSend send_to_service,
+                                     GroupSend send_to_witnesses)
     : settings(settings),
       log(log),
-      send_to_service(std::move(send_to_service)) {
+      send_to_service(std::move(send_to_service)),
+      send_to_witnesses(std::move(send_to_witnesses)) {
   this->OnSettingsChanged();
 }
 
@@ -43,6 +45,11 @@
   return quarantine::IsRejected(this->ledger, fingerprint, now);
 }
 
+schema::RequestRejection RequestQuarantine::RejectionOf(uint64_t fingerprint,
+                                                        absl::Time now) const {
+  return quarantine::RejectionReport(this->ledger, fingerprint, now);
+}
+
 void RequestQuarantine::OnLocalCrash(absl::Span<const uint64_t> suspects,
                                      absl::string_view sign,
                                      absl::Time now) {
@@ -104,11 +111,18 @@
 
 std::vector<schema::Message> RequestQuarantine::ReportsFor(
     absl::string_view service,
+    bool is_witness,
     absl::Time now) const {
   std::vector<schema::Message> reports;
-  for (schema::RequestRejection& rejection :
-       quarantine::RejectionReports(this->ledger, service, now)) {
-    reports.emplace_back(std::move(rejection));
+  const auto add_rejections = [&](absl::string_view rejecting_service) {
+    for (schema::RequestRejection& rejection :
+         quarantine::RejectionReports(this->ledger, rejecting_service, now)) {
+      reports.emplace_back(std::move(rejection));
+    }
+  };
+  add_rejections(service);
+  if (is_witness && service != this->settings.service) {
+    add_rejections(this->settings.service);
   }
   if (service == this->settings.service) {
     for (schema::WorkerCrash& crash :
@@ -119,6 +133,19 @@
   return reports;
 }
 
+bool RequestQuarantine::HasOwnEvidence() const {
+  const auto is_own_crash = [this](const auto& entry) {
+    return entry.second.vm_id == this->settings.vm_id;
+  };
+  const auto is_own_rejection = [](const auto& entry) {
+    return entry.second.is_own;
+  };
+  return std::any_of(this->ledger.crashes.begin(), this->ledger.crashes.end(),
+                     is_own_crash) ||
+         std::any_of(this->ledger.rejections.begin(),
+                     this->ledger.rejections.end(), is_own_rejection);
+}
+
 void RequestQuarantine::Tick(absl::Time now) {
   if (now - this->completions_sent_at >= kCompletionInterval) {
     this->completions_sent_at = now;
@@ -128,8 +155,7 @@
     this->rejections_sent_at = now;
     for (const auto& [fingerprint, rejection] : this->ledger.rejections) {
       if (rejection.is_own && rejection.expiry > now) {
-        this->send_to_service(
-            quarantine::RejectionReport(this->ledger, fingerprint, now));
+        this->send_to_service(this->RejectionOf(fingerprint, now));
       }
     }
   }
@@ -162,11 +188,11 @@
 void RequestQuarantine::ApplyEvidence(absl::Time now) {
   for (const uint64_t fingerprint :
        quarantine::RejectCulprits(this->ledger, now)) {
-    const schema::RequestRejection report =
-        quarantine::RejectionReport(this->ledger, fingerprint, now);
+    const schema::RequestRejection report = this->RejectionOf(fingerprint, now);
     this->LogRejected(report, "evidence");
     if (this->ledger.rejections.at(fingerprint).is_own) {
       this->send_to_service(report);
+      this->send_to_witnesses(report);
     }
   }
 }
--- a/src/boragepaddle/proxy/request_quarantine.h
+++ b/src/boragepaddle/proxy/request_quarantine.h
@@ -24,13 +24,19 @@
 /// that knowledge with other nodes.
 class RequestQuarantine {
  public:
-  /// `send_to_service` reaches the other nodes of the node's service.
+  /// `send_to_service` reaches the other nodes of the node's service,
+  /// `send_to_witnesses` the nodes of other services that keep its rejections.
   RequestQuarantine(const NodeSettings& settings,
                     telemetry::EventLog& log,
-                    GroupSend send_to_service);
+                    GroupSend send_to_service,
+                    GroupSend send_to_witnesses);
 
   /// True if no worker may run the request.
   bool IsRejected(uint64_t fingerprint, absl::Time now) const;
+  bool has_rejections() const { return !this->ledger.rejections.empty(); }
+  /// Report of a rejected request, for the node that sent it.
+  schema::RequestRejection RejectionOf(uint64_t fingerprint,
+                                       absl::Time now) const;
 
   /// The local worker has crashed; `sign` tells in the log how it was noticed.
   void OnLocalCrash(absl::Span<const uint64_t> suspects,
@@ -42,10 +48,16 @@
   /// Applies a report of another node. False if the message is none.
   bool OnMessage(const schema::Message& message, absl::Time now);
 
-  /// What a node of the service must know, for a new connection to it.
+  /// What a node of the service must know, for a new connection to it. A
+  /// witness also gets the rejections of this node's service.
   std::vector<schema::Message> ReportsFor(absl::string_view service,
+                                          bool is_witness,
                                           absl::Time now) const;
 
+  /// True if this node reported crashes or rejections that still count, which
+  /// other nodes may have missed.
+  bool HasOwnEvidence() const;
+
   /// Sends what is due.
   void Tick(absl::Time now);
 
@@ -67,6 +79,7 @@
   const NodeSettings& settings;
   telemetry::EventLog& log;
   const GroupSend send_to_service;
+  const GroupSend send_to_witnesses;
   quarantine::CrashLedger ledger;
   /// Completions of suspects on this node that the other nodes do not know yet.
   absl::flat_hash_map<uint64_t, uint32_t> unsent_completions;
--- a/src/boragepaddle/proxy/request_router.h
+++ b/src/boragepaddle/proxy/request_router.h
@@ -19,6 +19,7 @@
 #include "boragepaddle/proxy/dialect.h"
 #include "boragepaddle/proxy/node_settings.h"
 #include "boragepaddle/proxy/peer_network.h"
+#include "boragepaddle/proxy/request_quarantine.h"
 #include "boragepaddle/proxy/routed_call.h"
 #include "boragepaddle/proxy/shutdown_state.h"
 #include "boragepaddle/proxy/store_state.h"
@@ -68,6 +69,7 @@
                 StoreState& store,
                 const ShutdownState& shutdown,
                 WorkerProxy& local_worker,
+                RequestQuarantine& quarantine,
                 PeerNetwork& peers,
                 AccountLimiter& account_limiter,
                 event::BodySender& body_sender,
@@ -146,6 +148,9 @@
   /// False if the call of a retried request does not fit into the retry budget.
   bool AdmitNested(RoutedCall& call);
   void SendAttempt(RoutedCall& call);
+  uint64_t FingerprintOf(const RoutedCall& call) const;
+  /// Ends a call that crashes the workers that run it.
+  void RefuseQuarantined(RoutedCall& call);
   CallTimeBounds TimeBounds(const RoutedCall& call, absl::Time now) const;
   /// True if the process stops and is expected to end before the nested call
   /// does.
@@ -214,6 +219,7 @@
   StoreState& store;
   const ShutdownState& shutdown;
   WorkerProxy& local_worker;
+  RequestQuarantine& quarantine;
   PeerNetwork& peers;
   AccountLimiter& account_limiter;
   event::BodySender& body_sender;
--- a/src/boragepaddle/proxy/request_router_attempts.cc
+++ b/src/boragepaddle/proxy/request_router_attempts.cc
@@ -7,6 +7,7 @@
 #include "absl/time/clock.h"
 #include "boragepaddle/event/clock.h"
 #include "boragepaddle/proxy/request_router.h"
+#include "boragepaddle/quarantine/request_fingerprint.h"
 
 // Attempts of one request: choice of a worker, sending, handling of answers,
 // and retries.
@@ -42,6 +43,11 @@
     this->RefuseForShutdown(call, now);
     return;
   }
+  if (this->quarantine.has_rejections() &&
+      this->quarantine.IsRejected(this->FingerprintOf(call), now)) {
+    this->RefuseQuarantined(call);
+    return;
+  }
   routing::WorkerQuery query;
   query.service = call.service;
   query.availability_zone = this->settings.availability_zone;
@@ -71,6 +77,29 @@
   this->SendTo(call, *worker);
 }
 
+uint64_t RequestRouter::FingerprintOf(const RoutedCall& call) const {
+  const event::HttpRequest& request = call.exchange->request();
+  quarantine::RequestIdentity identity;
+  identity.service = call.service;
+  identity.method = request.method;
+  identity.authority = request.host;
+  identity.target = request.target;
+  identity.origin_service = this->settings.service;
+  identity.body = call.body == nullptr ? request.body : *call.body;
+  return quarantine::Fingerprint(identity);
+}
+
+// All nodes refuse the request, for a long time.
+void RequestRouter::RefuseQuarantined(RoutedCall& call) {
+  call.last_reason = Reason::kQuarantined;
+  call.retry_after = this->bounds.max_retry_after;
+  if (call.may_have_run) {
+    this->ReplyUnknown(call, 502);
+    return;
+  }
+  this->ReplyNotRun(call);
+}
+
 CallTimeBounds RequestRouter::TimeBounds(const RoutedCall& call,
                                          absl::Time now) const {
   CallTimeBounds bounds;
@@ -339,9 +368,17 @@
   call.retry_after =
       std::max(call.retry_after, absl::Microseconds(answer.retry_after_us));
   if (answer.reason == Reason::kQuarantined) {
-    // All nodes of the service refuse the request.
-    call.retry_after = this->bounds.max_retry_after;
-  } else if (answer.offered) {
+    // Refused here from now on, also if the nodes of the service forget it.
+    schema::RequestRejection rejection;
+    rejection.service = call.service;
+    rejection.fingerprint = this->FingerprintOf(call);
+    rejection.crashes = answer.rejected_crashes;
+    rejection.expiry_us = answer.rejected_for_us;
+    this->quarantine.OnMessage(rejection, now);
+    this->RefuseQuarantined(call);
+    return;
+  }
+  if (answer.offered) {
     // The worker itself rejected the call, so another attempt uses the retry
     // budget.
     ++call.worker_rejections;
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -355,6 +355,12 @@
   answer.outcome = Outcome::kNotRun;
   answer.reason = reason;
   const auto found = this->calls.find(id);
+  if (reason == Reason::kQuarantined && found != this->calls.end()) {
+    const schema::RequestRejection rejection = this->quarantine.RejectionOf(
+        found->second.fingerprint, event::BootNow());
+    answer.rejected_crashes = rejection.crashes;
+    answer.rejected_for_us = rejection.expiry_us;
+  }
   if (reason == Reason::kOverloaded && found != this->calls.end()) {
     const schema::HttpCall& call = found->second.message;
     answer.retry_after_us = absl::ToInt64Microseconds(std::min(
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -388,7 +388,9 @@
          a.streamed_bytes == b.streamed_bytes && a.load == b.load &&
          a.use == b.use && a.nested_failed == b.nested_failed &&
          a.refused_service == b.refused_service &&
-         a.refused_slot_us == b.refused_slot_us;
+         a.refused_slot_us == b.refused_slot_us &&
+         a.rejected_crashes == b.rejected_crashes &&
+         a.rejected_for_us == b.rejected_for_us;
 }
 
 bool operator!=(const HttpAnswer& a, const HttpAnswer& b) {
@@ -1062,7 +1064,7 @@
 }
 
 void Pack(Packer& packer, const HttpAnswer& value) {
-  packer.pack_array(14);
+  packer.pack_array(16);
   Pack(packer, value.call_id);
   Pack(packer, value.outcome);
   Pack(packer, value.reason);
@@ -1077,6 +1079,8 @@
   Pack(packer, value.nested_failed);
   Pack(packer, value.refused_service);
   Pack(packer, value.refused_slot_us);
+  Pack(packer, value.rejected_crashes);
+  Pack(packer, value.rejected_for_us);
 }
 
 bool Unpack(const msgpack::object& object, HttpAnswer* value) {
@@ -1095,6 +1099,8 @@
   reader.Next(&value->nested_failed);
   reader.Next(&value->refused_service);
   reader.Next(&value->refused_slot_us);
+  reader.Next(&value->rejected_crashes);
+  reader.Next(&value->rejected_for_us);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -517,6 +517,11 @@
   std::string refused_service;
   /// Mean slot time of a call to that service, in microseconds; 0 if unknown.
   uint64_t refused_slot_us = 0;
+  /// With the reason quarantined: crashes of the request.
+  uint32_t rejected_crashes = 0;
+  /// With the reason quarantined: time until the rejection ends, in
+  /// microseconds.
+  int64_t rejected_for_us = 0;
 };
 /// Compares all fields.
 bool operator==(const HttpAnswer& a, const HttpAnswer& b);
