Mend lint findings in the crash ledger and a test

clang rejects a lambda that captures a structured binding. HasSuspect stands for three copies of the same search.

--- a/src/boragepaddle/quarantine/crash_ledger.cc
+++ b/src/boragepaddle/quarantine/crash_ledger.cc
@@ -24,6 +24,11 @@
                              }));
 }
 
+bool HasSuspect(const Crash& crash, uint64_t fingerprint) {
+  return std::binary_search(crash.suspects.begin(), crash.suspects.end(),
+                            fingerprint);
+}
+
 /// Removes a crash, and the records of suspects that no other crash names.
 void RemoveCrash(CrashLedger& ledger, uint64_t crash_id) {
   const auto found = ledger.crashes.find(crash_id);
@@ -125,8 +130,7 @@
   for (auto& [crash_id, crash] : ledger.crashes) {
     const auto position = std::lower_bound(crash.suspects.begin(),
                                            crash.suspects.end(), fingerprint);
-    if (position != crash.suspects.end() && *position == fingerprint &&
-        matches(crash)) {
+    if (HasSuspect(crash, fingerprint) && matches(crash)) {
       crash.suspects.erase(position);
       --record->second.crashes;
     }
@@ -189,9 +193,8 @@
   rejection.crashes = ledger.suspects.at(fingerprint).crashes;
   rejection.expiry = now + ledger.settings.rejection_ttl;
   for (const auto& [crash_id, crash] : ledger.crashes) {
-    rejection.is_own |= crash.vm_id == ledger.settings.vm_id &&
-                        std::binary_search(crash.suspects.begin(),
-                                           crash.suspects.end(), fingerprint);
+    rejection.is_own |=
+        crash.vm_id == ledger.settings.vm_id && HasSuspect(crash, fingerprint);
   }
 }
 
@@ -199,16 +202,16 @@
 void DropExplainedCrashes(CrashLedger& ledger,
                           absl::Span<const uint64_t> rejected) {
   std::vector<uint64_t> explained;
-  for (const auto& [crash_id, crash] : ledger.crashes) {
-    const bool is_explained = std::any_of(
-        rejected.begin(), rejected.end(), [&](uint64_t fingerprint) {
-          return std::binary_search(crash.suspects.begin(),
-                                    crash.suspects.end(), fingerprint);
-        });
-    if (is_explained) {
-      explained.push_back(crash_id);
+  for (const uint64_t fingerprint : rejected) {
+    for (const auto& [crash_id, crash] : ledger.crashes) {
+      if (HasSuspect(crash, fingerprint)) {
+        explained.push_back(crash_id);
+      }
     }
   }
+  std::sort(explained.begin(), explained.end());
+  explained.erase(std::unique(explained.begin(), explained.end()),
+                  explained.end());
   for (const uint64_t crash_id : explained) {
     RemoveCrash(ledger, crash_id);
   }
--- a/tests/unit/witnesses_test.cc
+++ b/tests/unit/witnesses_test.cc
@@ -12,6 +12,7 @@
 
 std::vector<std::string> Hosts(int count) {
   std::vector<std::string> hosts;
+  hosts.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     hosts.push_back(absl::StrCat("10.0.0.", i));
   }
