Take a worker that registers a new start after unanswered calls as crashed

Callers saw a request that crashes workers reach one after the other, on machines that restart a worker at once.

Class: a state that is polled, where a change of it is what matters.

Now the start that the worker states in the list of workers is compared with the last one. Calls that ended without an answer up to 3 s before a new start are suspects of a crash.

--- a/src/boragepaddle/proxy/request_quarantine.cc
+++ b/src/boragepaddle/proxy/request_quarantine.cc
@@ -70,7 +70,7 @@
   this->log.LogState(telemetry::LogLine("worker", "crashed")
                          .Add("sign", sign)
                          .Add("crash", absl::Hex(crash_id))
-                         .Add("broken_calls", suspects.size())
+                         .Add("unanswered_calls", suspects.size())
                          .Add("suspects", report.suspects.size())
                          .Add("crashes_by_suspect", crashes));
   this->send_to_service(report);
--- a/src/boragepaddle/proxy/worker_proxy.cc
+++ b/src/boragepaddle/proxy/worker_proxy.cc
@@ -110,6 +110,9 @@
         this->limiter, absl::Now() - absl::FromUnixMillis(worker->started_ms),
         event::BootNow());
   }
+  if (worker != nullptr) {
+    this->RecordWorkerStart(*worker);
+  }
   const bool is_unlisted =
       worker == nullptr && !this->store.workers.entries.empty();
   if (!is_unlisted && (worker == nullptr || !catalog::IsLeaving(*worker))) {
--- a/src/boragepaddle/proxy/worker_proxy.h
+++ b/src/boragepaddle/proxy/worker_proxy.h
@@ -162,6 +162,8 @@
   void RecordCallTime(const Call& call,
                       const event::WorkerResult& result,
                       absl::Time now);
+  /// Notices a new start of the worker, which may follow a crash.
+  void RecordWorkerStart(const catalog::WorkerEntry& worker);
   /// Updates what is known of crashes by the end of a call at the worker.
   void RecordCallEnd(uint64_t fingerprint,
                      event::WorkerOutcome outcome,
@@ -186,6 +188,8 @@
   RequestQuarantine& quarantine;
   quarantine::CrashDetector crash_detector;
   bool is_watching_worker = false;
+  /// Start that the worker last registered; 0 before the first.
+  int64_t worker_started_ms = 0;
   admission::WorkerLimiter limiter;
   admission::RecentMaximum call_times;
   /// Times from arrival to answer, by route.
--- a/src/boragepaddle/proxy/worker_proxy_observations.cc
+++ b/src/boragepaddle/proxy/worker_proxy_observations.cc
@@ -133,6 +133,27 @@
   }
 }
 
+void WorkerProxy::RecordWorkerStart(const catalog::WorkerEntry& worker) {
+  if (worker.started_ms == this->worker_started_ms) {
+    return;
+  }
+  const bool is_first = this->worker_started_ms == 0;
+  this->worker_started_ms = worker.started_ms;
+  if (is_first) {
+    return;
+  }
+  const absl::Time now = event::BootNow();
+  const absl::Time started_at =
+      now - (absl::Now() - absl::FromUnixMillis(worker.started_ms));
+  const std::vector<uint64_t> suspects =
+      quarantine::OnWorkerRestarted(this->crash_detector, started_at, now);
+  if (!suspects.empty()) {
+    this->quarantine.OnLocalCrash(
+        suspects, quarantine::ToString(quarantine::WorkerSign::kRestarted),
+        now);
+  }
+}
+
 void WorkerProxy::TickCrashCheck(absl::Time now) {
   if (!quarantine::IsCrashCheckDue(this->crash_detector, now)) {
     return;
--- a/src/boragepaddle/quarantine/crash_detector.cc
+++ b/src/boragepaddle/quarantine/crash_detector.cc
@@ -16,11 +16,27 @@
   }
 }
 
+/// Removes the calls that ended before the time, and returns their
+/// fingerprints, each once.
+std::vector<uint64_t> TakeSuspects(CrashDetector& detector,
+                                   absl::Time ended_before) {
+  std::vector<uint64_t> suspects;
+  while (!detector.unanswered.empty() &&
+         detector.unanswered.front().ended_at < ended_before) {
+    suspects.push_back(detector.unanswered.front().fingerprint);
+    detector.unanswered.pop_front();
+  }
+  std::sort(suspects.begin(), suspects.end());
+  suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
+  return suspects;
+}
+
 }  // namespace
 
 bool IsCrash(WorkerSign sign) {
   return sign == WorkerSign::kNotAccepting ||
-         sign == WorkerSign::kClosesConnections;
+         sign == WorkerSign::kClosesConnections ||
+         sign == WorkerSign::kRestarted;
 }
 
 absl::string_view ToString(WorkerSign sign) {
@@ -35,6 +51,8 @@
       return "not_accepting";
     case WorkerSign::kClosesConnections:
       return "closes_connections";
+    case WorkerSign::kRestarted:
+      return "restarted";
   }
   return "invalid";
 }
@@ -94,17 +112,17 @@
   detector.check_at = detector.is_worker_down
                           ? now + detector.settings.down_probe_interval
                           : absl::InfiniteFuture();
-  std::vector<uint64_t> suspects;
   if (was_down || !IsCrash(sign)) {
-    return suspects;
-  }
-  for (const UnansweredCall& call : detector.unanswered) {
-    suspects.push_back(call.fingerprint);
+    return {};
   }
-  std::sort(suspects.begin(), suspects.end());
-  suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
-  detector.unanswered.clear();
-  return suspects;
+  return TakeSuspects(detector, /*ended_before=*/absl::InfiniteFuture());
+}
+
+std::vector<uint64_t> OnWorkerRestarted(CrashDetector& detector,
+                                        absl::Time started_at,
+                                        absl::Time now) {
+  ForgetOldCalls(detector, now);
+  return TakeSuspects(detector, started_at + detector.settings.start_tolerance);
 }
 
 void OnWorkerAnswered(CrashDetector& detector) {
--- a/src/boragepaddle/quarantine/crash_detector.h
+++ b/src/boragepaddle/quarantine/crash_detector.h
@@ -20,6 +20,8 @@
   /// Time for which a call that ended without an answer may be the cause of a
   /// crash: the worker may go on with it after its connection is closed.
   absl::Duration suspicion_time = absl::Seconds(3);
+  /// Tolerance for the time that a worker states as its start.
+  absl::Duration start_tolerance = absl::Milliseconds(500);
   /// Limit on such calls; the oldest are forgotten.
   size_t max_calls = 1024;
   /// Interval at which a worker whose address closes all connections is probed.
@@ -39,6 +41,8 @@
   /// The address accepts connections and closes them at once: something else
   /// still listens there.
   kClosesConnections,
+  /// The worker registered a new start.
+  kRestarted,
 };
 
 /// True if the sign shows that the worker has crashed, given that one of its
@@ -104,6 +108,13 @@
                                     WorkerSign sign,
                                     absl::Time now);
 
+/// The worker registered a start at the given time. If calls ended without an
+/// answer just before, returns their fingerprints: it has crashed, and was back
+/// before it was probed.
+std::vector<uint64_t> OnWorkerRestarted(CrashDetector& detector,
+                                        absl::Time started_at,
+                                        absl::Time now);
+
 /// The worker answered a call.
 void OnWorkerAnswered(CrashDetector& detector);
 
--- a/tests/integration/crash_signs_test.py
+++ b/tests/integration/crash_signs_test.py
@@ -9,6 +9,7 @@
 
 SILENT_S = 2.0
 WORK_AFTER_CANCEL_S = 0.2
+REGISTRATION_S = 0.3
 
 
 class OnceCrashingWorker(CrashingWorker):
@@ -79,6 +80,15 @@
         self.crash(DOWN_S)
 
 
+class QuickRestartWorker(OnceCrashingWorker):
+    """Serves again at once, and then registers its new start."""
+
+    def end_once(self, handler):
+        self.crash(0)
+        time.sleep(REGISTRATION_S)
+        self.store.put("servers/" + self.instance, dict(self.entry(), born=int((time.time() - REGISTRATION_S) * 1000)))
+
+
 class LateCrashWorker(OnceCrashingWorker):
     """Ends some time after the connection of the crashing request was closed."""
 
@@ -130,6 +140,17 @@
         self.check("/write/crash")
 
 
+class QuickRestartTest(CrashingRequestFixture):
+    WORKER = QuickRestartWorker
+
+    def test_a_worker_that_is_back_at_once_has_crashed(self):
+        """Guards against a crashing request that is sent on because its worker is restarted before it is looked at."""
+        self.check("/read/crash")
+
+    def test_the_same_for_a_request_that_is_not_repeatable(self):
+        self.check("/write/crash")
+
+
 class CancelledTest(CrashingRequestFixture):
     WORKER = LateCrashWorker
     BACKGROUND_CLIENTS = 0
--- a/tests/integration/crashing_requests.py
+++ b/tests/integration/crashing_requests.py
@@ -35,6 +35,7 @@
     def __init__(self, *args, is_crashing, **options):
         self.crashed_at = []
         self.is_crashing = is_crashing
+        self.store = None
         super().__init__(*args, **options)
 
     def work(self, handler, attempt):
@@ -69,6 +70,8 @@
         self.store = FakeStore("127.0.0.1")
         self.workers = [self.WORKER("127.0.3.%d" % (index + 1), "s1", "i-%d" % index, is_crashing=self.is_crashing)
                         for index in range(WORKERS)]
+        for worker in self.workers:
+            worker.store = self.store
         callers = [FakeWorker("127.0.3.%d" % (WORKERS + index + 1), "s2", "c-%d" % index)
                    for index in range(self.OTHER_CALLERS)]
         nodes = start_fleet(self, self.folder.name, self.store, self.workers + callers,
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -212,6 +212,26 @@
   CHECK_FALSE(IsCrashCheckDue(detector, at + absl::Seconds(2)));
 }
 
+// Guards against a crash that is not counted because the worker was restarted
+// before it was probed.
+TEST_CASE("quarantine: a new start after unanswered calls shows a crash") {
+  CrashDetector detector;
+  BreakCall(detector, kFingerprint, kNow);
+  EndCrashCheck(detector, WorkerSign::kServing, kNow + absl::Milliseconds(150));
+  const absl::Time started = kNow + absl::Milliseconds(30);
+  const absl::Time listed = kNow + absl::Seconds(2);
+  // Broken calls of the new process are no evidence of the old one's end.
+  BreakCall(detector, 5, kNow + absl::Seconds(1));
+  CHECK(OnWorkerRestarted(detector, started, listed) ==
+        std::vector<uint64_t>{kFingerprint});
+  CHECK(OnWorkerRestarted(detector, started, listed).empty());
+  // A start long after the calls has another cause.
+  BreakCall(detector, kFingerprint, listed);
+  EndCrashCheck(detector, WorkerSign::kServing, listed);
+  const absl::Time later = listed + absl::Seconds(10);
+  CHECK(OnWorkerRestarted(detector, later, later).empty());
+}
+
 // Guards against requests that are refused because they met the address of a
 // crashed worker, which closes connections before anything runs.
 TEST_CASE("quarantine: calls to a closing address are no evidence") {
