Log the era of the store, and what an update that is not used was compared with

The lines did not tell apart a store that came back from an older copy, a replica that lags, and a document that is not taken: an unused update was logged without its own revisions, a configuration that is not newer without the one in force, and the era of the store was not read.

Reads the header Store-Era; logs each change of it, and adds the gauges feed_store_era and feed_store_answers. Nothing else uses the era yet.

--- a/src/boragepaddle/event/http_get_client.cc
+++ b/src/boragepaddle/event/http_get_client.cc
@@ -123,9 +123,17 @@
     }
     HttpGetClient::Callback done = std::move(this->callback);
     this->callback = nullptr;
-    if (done) {
-      done(HttpGetResult{message.result_int(), std::move(message.body())});
+    if (!done) {
+      return;
+    }
+    HttpGetResult result;
+    result.status = message.result_int();
+    for (const auto& field : message) {
+      result.fields.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
     }
+    result.body = std::move(message.body());
+    done(std::move(result));
   }
 
   void Fail() {
--- a/src/boragepaddle/event/http_get_client.h
+++ b/src/boragepaddle/event/http_get_client.h
@@ -7,16 +7,19 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "boragepaddle/event/socket_options.h"
+#include "boragepaddle/schema/messages.h"
 
 namespace boragepaddle::event {
 
 /// Result of a GET. Status 0 means that no complete response was received.
 struct HttpGetResult {
   uint32_t status = 0;
+  std::vector<schema::HttpField> fields;
   std::string body;
 };
 
--- a/src/boragepaddle/event/key_value_source.h
+++ b/src/boragepaddle/event/key_value_source.h
@@ -38,6 +38,9 @@
   std::vector<schema::KeyValue> items;
   uint64_t as_of = 0;
   bool more = false;
+  /// Rises each time the store comes back from an older copy; 0 if the response
+  /// names none, or no whole number.
+  uint64_t era = 0;
 };
 
 /// Consistency of a listing.
--- a/src/boragepaddle/event/prefix_watcher.cc
+++ b/src/boragepaddle/event/prefix_watcher.cc
@@ -93,6 +93,7 @@
   // contains are applied twice.
   if (this->listed.to_revision == 0) {
     this->listed.to_revision = page.as_of;
+    this->listed.era = page.era;
   }
   const bool more = page.more && !page.items.empty();
   for (schema::KeyValue& item : page.items) {
@@ -154,6 +155,7 @@
 
 void PrefixWatcher::OnWatched(uint64_t from, SourcePage page) {
   feed::ReplicaUpdate changes;
+  changes.era = page.era;
   changes.from_revision = from;
   changes.to_revision = std::max(from, page.as_of);
   for (const schema::KeyValue& item : page.items) {
--- a/src/boragepaddle/feed/replica.h
+++ b/src/boragepaddle/feed/replica.h
@@ -36,6 +36,8 @@
   /// Snapshot: keys that are not among the items no longer exist.
   bool is_snapshot = false;
   std::vector<schema::KeyValue> items;
+  /// Era of the store in which the update was read; 0 if unknown.
+  uint64_t era = 0;
 };
 
 enum class UpdateError : uint8_t {
--- a/src/boragepaddle/platform/store_client.cc
+++ b/src/boragepaddle/platform/store_client.cc
@@ -5,7 +5,9 @@
 #include <utility>
 
 #include "absl/strings/escaping.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "boragepaddle/event/http_exchange.h"
 #include "boragepaddle/platform/bounded_json.h"
 
 namespace boragepaddle::platform {
@@ -21,6 +23,8 @@
 /// a slow answer is still useful.
 constexpr absl::Duration kReadTimeout = absl::Seconds(2);
 
+constexpr char kEraField[] = "Store-Era";
+
 constexpr uint32_t kOk = 200;
 constexpr uint32_t kGone = 410;
 
@@ -47,6 +51,12 @@
              : 0;
 }
 
+/// Returns 0 if the field is missing or not a whole number.
+uint64_t DecodeEra(const std::vector<schema::HttpField>& fields) {
+  uint64_t era = 0;
+  return absl::SimpleAtoi(event::FieldValue(fields, kEraField), &era) ? era : 0;
+}
+
 bool DecodeItem(const Json& object, schema::KeyValue* item) {
   if (!object.is_object() || !object.contains("key") ||
       !object["key"].is_string()) {
@@ -85,7 +95,7 @@
   }
   this->http.Get(target, kReadTimeout,
                  [callback = std::move(callback)](event::HttpGetResult result) {
-                   callback(DecodePage(result.status, result.body));
+                   callback(DecodePage(result));
                  });
 }
 
@@ -99,7 +109,7 @@
       "&after=", after_revision, "&wait_ms=", absl::ToInt64Milliseconds(wait));
   this->http.Get(target, wait + response_margin,
                  [callback = std::move(callback)](event::HttpGetResult result) {
-                   callback(DecodePage(result.status, result.body));
+                   callback(DecodePage(result));
                  });
 }
 
@@ -107,8 +117,9 @@
   this->http.Abort();
 }
 
-base::Result<SourcePage, SourceError> DecodePage(uint32_t status,
-                                                 absl::string_view body) {
+base::Result<SourcePage, SourceError> DecodePage(
+    const event::HttpGetResult& response) {
+  const uint32_t status = response.status;
   if (status == 0) {
     return SourceError{SourceErrorCode::kUnreachable, status};
   }
@@ -118,11 +129,12 @@
   if (status != kOk) {
     return SourceError{SourceErrorCode::kRefused, status};
   }
-  const Json document = ParseBoundedObject(body);
+  const Json document = ParseBoundedObject(response.body);
   if (document.is_null()) {
     return SourceError{SourceErrorCode::kMalformed, status};
   }
   SourcePage page;
+  page.era = DecodeEra(response.fields);
   // Revision of the store at the time of the response.
   page.as_of = Unsigned(document, "as_of");
   const auto more = document.find("truncated");
--- a/src/boragepaddle/platform/store_client.h
+++ b/src/boragepaddle/platform/store_client.h
@@ -30,8 +30,7 @@
 
 /// Decodes the response to a range read or a watch.
 base::Result<event::SourcePage, event::SourceError> DecodePage(
-    uint32_t status,
-    absl::string_view body);
+    const event::HttpGetResult& response);
 
 }  // namespace boragepaddle::platform
 
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -342,6 +342,10 @@
           : static_cast<double>(this->store.routes->revision));
   this->metrics.SetGauge("feed_revision",
                          static_cast<double>(this->replicator.revision()));
+  this->metrics.SetGauge("feed_store_era",
+                         static_cast<double>(this->replicator.store_era()));
+  this->metrics.SetGauge("feed_store_answers",
+                         static_cast<double>(this->replicator.store_answers()));
   this->metrics.SetGauge(
       "feed_age_seconds",
       absl::ToDoubleSeconds(this->replicator.CopyAge(event::BootNow())));
--- a/src/boragepaddle/proxy/store_replicator.cc
+++ b/src/boragepaddle/proxy/store_replicator.cc
@@ -92,6 +92,8 @@
 
 void StoreReplicator::OnStoreUpdate(feed::ReplicaUpdate page) {
   const absl::Time now = event::BootNow();
+  ++this->read_answers;
+  this->LogEra(page);
   if (this->feed_state.reading) {
     feed::OnStoreReadSucceeded(this->feed_state, now);
   }
@@ -99,18 +101,35 @@
   this->NotifyIfDue(now);
 }
 
+void StoreReplicator::LogEra(const feed::ReplicaUpdate& page) {
+  if (page.era == this->read_era) {
+    return;
+  }
+  this->log.LogState(LogLine("store", "era_changed")
+                         .Add("before", this->read_era)
+                         .Add("era", page.era)
+                         .Add("revision", page.to_revision)
+                         .Add("known_revision", this->replica.revision));
+  this->read_era = page.era;
+}
+
 feed::UpdateError StoreReplicator::Apply(feed::ReplicaUpdate page,
                                          absl::string_view from) {
   const absl::Time now = event::BootNow();
   const uint64_t before = this->replica.revision;
+  LogLine unused("feed", "page_unused");
+  unused.Add("from", from)
+      .Add("known_revision", before)
+      .Add("era", page.era)
+      .Add("from_revision", page.from_revision)
+      .Add("to_revision", page.to_revision)
+      .Add("snapshot", page.is_snapshot)
+      .Add("items", page.items.size());
   const feed::UpdateResult result =
       feed::ApplyUpdate(this->replica, std::move(page));
   if (result.error != feed::UpdateError::kNone) {
     this->log.LogState(
-        LogLine("feed", "page_unused")
-            .Add("from", from)
-            .Add("revision", before)
-            .Add("gap", result.error == feed::UpdateError::kGap));
+        unused.Add("gap", result.error == feed::UpdateError::kGap));
     return result.error;
   }
   if (!result.changes.empty()) {
--- a/src/boragepaddle/proxy/store_replicator.h
+++ b/src/boragepaddle/proxy/store_replicator.h
@@ -61,6 +61,9 @@
   absl::Duration CopyAge(absl::Time now) const;
 
   uint64_t revision() const { return this->replica.revision; }
+  /// Era of the store's last answer to this node, and the number of answers.
+  uint64_t store_era() const { return this->read_era; }
+  uint64_t store_answers() const { return this->read_answers; }
   size_t subscribers() const { return this->subscriber_channels.size(); }
   const feed::FeedState& state() const { return this->feed_state; }
 
@@ -83,6 +86,8 @@
   void NotifyIfDue(absl::Time now);
   /// Logs if the copy became stale or current since the last notice.
   void LogCurrency(absl::Time now);
+  /// Logs if the store answers in another era than before.
+  void LogEra(const feed::ReplicaUpdate& page);
   schema::FeedStamp CurrentStamp(absl::Time now) const;
 
   const NodeSettings& settings;
@@ -97,6 +102,8 @@
   absl::Time discovery_read_at = absl::InfinitePast();
   bool ever_current = false;
   absl::Time reported_outage_at = absl::InfinitePast();
+  uint64_t read_era = 0;
+  uint64_t read_answers = 0;
   /// Channels to the sources by address.
   absl::flat_hash_map<std::string, event::PeerChannelPtr> source_channels;
   /// Channels of the subscribers by channel number.
--- a/src/boragepaddle/proxy/store_state.cc
+++ b/src/boragepaddle/proxy/store_state.cc
@@ -19,7 +19,9 @@
   }
   if (state.routes != nullptr && state.routes->revision >= item.revision) {
     change.kind = Kind::kEntryIgnored;
-    change.detail = "not newer";
+    change.detail =
+        absl::StrCat("not newer than version ", state.routes->version,
+                     " of revision ", state.routes->revision);
     return change;
   }
   auto decoded = state.dialect.decode_catalog(item.value);
--- a/tests/unit/platform_path/decode_fuzz_test.cc
+++ b/tests/unit/platform_path/decode_fuzz_test.cc
@@ -77,7 +77,7 @@
   std::mt19937_64 random(kSeed);
   size_t refused = 0;
   for (int round = 0; round < kRounds; ++round) {
-    refused += DecodePage(200, Corrupt(page, random)).has_value() ? 0 : 1;
+    refused += DecodePage({200, {}, Corrupt(page, random)}).has_value() ? 0 : 1;
   }
   CHECK(refused > kRounds / 4);
 }
--- a/tests/unit/platform_path/documents_test.cc
+++ b/tests/unit/platform_path/documents_test.cc
@@ -195,7 +195,7 @@
                            absl::StrReplaceAll(kEntry, {{"\"s1\"", nested}})));
   CHECK_FALSE(DecodeCatalog(
       absl::StrReplaceAll(kConfig, {{"\"idempotent\"", nested}})));
-  CHECK_FALSE(DecodePage(200, "{\"items\":" + nested + ",\"as_of\":9}"));
+  CHECK_FALSE(DecodePage({200, {}, "{\"items\":" + nested + ",\"as_of\":9}"}));
   const std::string shallow = "[[[1]]]";
   CHECK(DecodeWorker(
       "servers/i-7",
@@ -232,22 +232,40 @@
 
 TEST_CASE("Store responses are decoded into pages or typed errors") {
   const auto page = DecodePage(
-      200, R"({"items":[{"key":"servers/a","value":"eA==","revision":3}],
-               "truncated":true,"as_of":9})");
+      {200, {}, R"({"items":[{"key":"servers/a","value":"eA==","revision":3}],
+               "truncated":true,"as_of":9})"});
   REQUIRE(page);
   CHECK(page.value().as_of == 9);
   CHECK(page.value().more);
   CHECK(page.value().items[0].value == "x");
   const auto events = DecodePage(
-      200, R"({"events":[{"key":"k","revision":4,"removed":true}],"as_of":4})");
+      {200,
+       {},
+       R"({"events":[{"key":"k","revision":4,"removed":true}],"as_of":4})"});
   REQUIRE(events);
   CHECK(events.value().items[0].removed);
-  CHECK(DecodePage(410, "").error().code == event::SourceErrorCode::kCompacted);
-  CHECK(DecodePage(429, "").error().code == event::SourceErrorCode::kRefused);
-  CHECK(DecodePage(0, "").error().code == event::SourceErrorCode::kUnreachable);
-  CHECK(DecodePage(200, "{").error().code ==
+  CHECK(DecodePage({410, {}, ""}).error().code ==
+        event::SourceErrorCode::kCompacted);
+  CHECK(DecodePage({429, {}, ""}).error().code ==
+        event::SourceErrorCode::kRefused);
+  CHECK(DecodePage({0, {}, ""}).error().code ==
+        event::SourceErrorCode::kUnreachable);
+  CHECK(DecodePage({200, {}, "{"}).error().code ==
         event::SourceErrorCode::kMalformed);
 }
 
+TEST_CASE("The era of a store response is read from its header") {
+  const auto era_of = [](const std::string& text) {
+    const auto page = DecodePage({200, {{"store-era", text}}, "{\"as_of\":9}"});
+    return page ? page.value().era : ~uint64_t{0};
+  };
+  CHECK(era_of("7") == 7);
+  for (const char* invalid :
+       {"", "x", "-1", "1.5", "99999999999999999999999"}) {
+    CHECK(era_of(invalid) == 0);
+  }
+  CHECK(DecodePage({200, {}, "{\"as_of\":9}"}).value().era == 0);
+}
+
 }  // namespace
 }  // namespace boragepaddle::platform
