--- a/tools/mesh/platform_fakes.py
+++ b/tools/mesh/platform_fakes.py
@@ -46,8 +46,18 @@
                 pass
 
 
+class StoreCopy:
+    """Content of a store at one moment."""
+
+    def __init__(self, store):
+        self.items = dict(store.items)
+        self.events = list(store.events)
+        self.revision = store.revision
+        self.compacted = store.compacted
+
+
 class FakeStore:
-    """Revisioned key-value store with range reads and watches. Outages can be simulated."""
+    """Revisioned key-value store with range reads and watches. Outages and the return from a copy can be simulated."""
 
     def __init__(self, host):
         self.condition = threading.Condition()
@@ -56,6 +66,13 @@
         self.events = []
         self.compacted = 0
         self.down = False
+        # Rises by one each time the store comes back from a copy; in all answers.
+        self.era = 1
+        # Text of the era's header instead of the era, by server address, or of all servers with the key None.
+        # The text None leaves the header out.
+        self.era_texts = {}
+        # (time, server address, path, status) of each answered call.
+        self.calls = []
         self.host = host
         # (items, revision) returned by serializable reads; None to return the current state.
         self.stale_snapshot = None
@@ -122,6 +139,30 @@
             self.events = []
             self.condition.notify_all()
 
+    def copy(self):
+        """A copy of the content, for return_from_copy."""
+        with self.condition:
+            return StoreCopy(self)
+
+    def return_from_copy(self, copy, down_s=0.3):
+        """Is away for a moment and comes back with the copy: later writes are lost, and their revisions given out again.
+        Returns the time of the return."""
+        self.set_down(True)
+        time.sleep(down_s)
+        with self.condition:
+            self.items = dict(copy.items)
+            self.events = list(copy.events)
+            self.revision = copy.revision
+            self.compacted = copy.compacted
+            self.era += 1
+            self.down = False
+            self.condition.notify_all()
+            return time.monotonic()
+
+    def calls_between(self, begin, end):
+        with self.condition:
+            return [call for call in self.calls if begin <= call[0] < end]
+
     def set_down(self, down):
         with self.condition:
             self.down = down
@@ -147,17 +188,20 @@
                      if key.startswith(query["prefix"]) and key > query.get("after", "")]
             # Small pages, so that paging is always exercised.
             page = {"items": items[:3], "truncated": len(items) > 3, "as_of": revision}
-        self._send(handler, 200, page)
+            era = self.era
+        self._send(handler, 200, page, era)
 
     def _watch(self, handler, query):
         after = int(query["after"])
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.condition:
+            era = self.era
             while True:
-                if self.is_down_for(handler):
+                # A watch does not outlive the store that it waits at.
+                if self.is_down_for(handler) or era != self.era:
                     status, body = 503, {}
                     break
-                if after < self.compacted:
+                if after < self.compacted or after > self.revision:
                     status, body = 410, {}
                     break
                 events = [event for event in self.events
@@ -167,12 +211,18 @@
                     status, body = 200, {"events": events, "as_of": self.revision}
                     break
                 self.condition.wait(remaining_s)
-        self._send(handler, status, body)
+        self._send(handler, status, body, era)
 
-    @staticmethod
-    def _send(handler, status, body):
+    def _send(self, handler, status, body, era=None):
+        """`era` is the one that the body was read in."""
         data = json.dumps(body).encode()
+        address = "%s:%d" % handler.server.server_address
+        with self.condition:
+            self.calls.append((time.monotonic(), address, handler.path, status))
+            text = self.era_texts.get(address, self.era_texts.get(None, str(era or self.era)))
         handler.send_response(status)
+        if text is not None:
+            handler.send_header("Store-Era", text)
         handler.send_header("Content-Length", str(len(data)))
         handler.end_headers()
         handler.wfile.write(data)
@@ -189,6 +239,8 @@
         self.slots = slots
         self.lock = threading.Lock()
         self.runs = []
+        # Of the entries; rises with each one that is written.
+        self.sequence = 0
         # Header fields of all answers.
         self.answer_fields = {}
         worker = self
@@ -222,8 +274,9 @@
         self.start(address)
 
     def entry(self, state="ready"):
+        self.sequence += 1
         return {"service": self.service, "address": self.address, "zone": "z", "version": "v1",
-                "slots": self.slots, "state": state, "cold_remaining_s": 0, "sequence": 1, "born": 1}
+                "slots": self.slots, "state": state, "cold_remaining_s": 0, "sequence": self.sequence, "born": 1}
 
     def answer(self, handler):
         body = handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
