--- a/src/boragepaddle/catalog/route_catalog.h
+++ b/src/boragepaddle/catalog/route_catalog.h
@@ -9,6 +9,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "boragepaddle/base/store_position.h"
 #include "boragepaddle/catalog/client_account.h"
 #include "boragepaddle/catalog/route.h"
 
@@ -32,8 +33,8 @@
 
 /// A version of the route configuration. Immutable once indexed.
 struct RouteCatalog {
-  /// Increases with each change of the configuration.
-  uint64_t revision = 0;
+  /// Position of the store at which this configuration was written.
+  base::StorePosition position;
   /// Version name given by the operators.
   std::string version;
   std::vector<Route> routes;
--- a/src/boragepaddle/catalog/worker_directory.cc
+++ b/src/boragepaddle/catalog/worker_directory.cc
@@ -36,10 +36,9 @@
 }
 
 void PutWorker(WorkerDirectory& directory, WorkerEntry entry, absl::Time now) {
-  directory.revision = std::max(directory.revision, entry.revision);
   const auto found = directory.entries.find(entry.instance);
   if (found != directory.entries.end() &&
-      found->second.revision > entry.revision) {
+      found->second.position > entry.position) {
     return;
   }
   entry.seen_at = now;
@@ -81,11 +80,10 @@
 
 void RemoveWorker(WorkerDirectory& directory,
                   absl::string_view instance,
-                  uint64_t revision,
+                  const base::StorePosition& position,
                   absl::Time now) {
-  directory.revision = std::max(directory.revision, revision);
   const auto found = directory.entries.find(instance);
-  if (found == directory.entries.end() || found->second.revision > revision) {
+  if (found == directory.entries.end() || found->second.position > position) {
     return;
   }
   ++directory.generation;
@@ -125,7 +123,7 @@
     if (entry.address == address &&
         (newest == nullptr || entry.started_ms > newest->started_ms ||
          (entry.started_ms == newest->started_ms &&
-          entry.revision > newest->revision))) {
+          entry.position > newest->position))) {
       newest = &entry;
     }
   }
--- a/src/boragepaddle/catalog/worker_directory.h
+++ b/src/boragepaddle/catalog/worker_directory.h
@@ -7,6 +7,7 @@
 #include "absl/container/btree_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "boragepaddle/base/store_position.h"
 
 namespace boragepaddle::catalog {
 
@@ -29,8 +30,8 @@
   absl::Duration warm_up_remaining;
   /// Start time of the worker, in milliseconds since the Unix epoch.
   int64_t started_ms = 0;
-  /// Store revision of this entry.
-  uint64_t revision = 0;
+  /// Position of the store at which this entry was written.
+  base::StorePosition position;
   absl::Time seen_at = absl::InfinitePast();
   /// When an entry that is no longer listed is removed; infinite while it is
   /// listed.
@@ -60,8 +61,6 @@
   /// By instance id. Kept when an entry is removed, as it may be listed again
   /// after an outage.
   absl::btree_map<std::string, LeavingMark> leaving;
-  /// Highest store revision applied.
-  uint64_t revision = 0;
   /// Time of the last failed read of the source; removals shortly after it are
   /// provisional.
   absl::Time last_source_failure = absl::InfinitePast();
@@ -92,11 +91,11 @@
 /// Cancels a pending removal, since the instance is still listed.
 void ConfirmWorker(WorkerDirectory& directory, absl::string_view instance);
 
-/// Removes an instance that is no longer listed as of the revision. Near an
+/// Removes an instance that is no longer listed as of the position. Near an
 /// outage, the removal takes effect only after a grace period.
 void RemoveWorker(WorkerDirectory& directory,
                   absl::string_view instance,
-                  uint64_t revision,
+                  const base::StorePosition& position,
                   absl::Time now);
 
 /// Removes entries whose grace period has ended. True if any was removed.
--- a/src/boragepaddle/event/key_value_source.cc
+++ b/src/boragepaddle/event/key_value_source.cc
@@ -12,6 +12,8 @@
       return "compacted";
     case SourceErrorCode::kMalformed:
       return "malformed";
+    case SourceErrorCode::kOlderEra:
+      return "older-era";
   }
   return "invalid";
 }
--- a/src/boragepaddle/event/key_value_source.h
+++ b/src/boragepaddle/event/key_value_source.h
@@ -23,11 +23,16 @@
   kCompacted,
   /// The answer could not be parsed.
   kMalformed,
+  /// The answer belongs to an older era of the store than a former one, or
+  /// names none.
+  kOlderEra,
 };
 
 struct SourceError {
   SourceErrorCode code = SourceErrorCode::kUnreachable;
   uint32_t status = 0;
+  /// Era that the answer named; 0 if it named none.
+  uint64_t era = 0;
 };
 
 absl::string_view ToString(SourceErrorCode code);
--- a/src/boragepaddle/event/prefix_watcher.cc
+++ b/src/boragepaddle/event/prefix_watcher.cc
@@ -43,8 +43,8 @@
   this->Begin(this->mode);
 }
 
-void PrefixWatcher::AdvanceTo(uint64_t revision) {
-  this->revision = std::max(this->revision, revision);
+void PrefixWatcher::AdvanceTo(const base::StorePosition& position) {
+  this->position = std::max(this->position, position);
   this->must_list = false;
 }
 
@@ -78,6 +78,7 @@
         if (epoch != this->epoch) {
           return;
         }
+        page = this->CheckEra(std::move(page));
         if (!page) {
           this->OnFailure(page.error());
           return;
@@ -87,13 +88,26 @@
       });
 }
 
+// A listing that may be stale may be answered in an older era; its receiver
+// tells.
+base::Result<SourcePage, SourceError> PrefixWatcher::CheckEra(
+    base::Result<SourcePage, SourceError> page) const {
+  if (!page || this->mode == Mode::kReadOnce ||
+      page.value().era >= this->position.era) {
+    return page;
+  }
+  return SourceError{SourceErrorCode::kOlderEra, 0, page.value().era};
+}
+
 void PrefixWatcher::OnPage(SourcePage page) {
   // The pages are not read from one snapshot. The watch therefore starts from
   // the revision of the first page, and changes that a later page already
   // contains are applied twice.
-  if (this->listed.to_revision == 0) {
-    this->listed.to_revision = page.as_of;
-    this->listed.era = page.era;
+  if (this->listed.to.revision == 0) {
+    this->listed.to = {page.era, page.as_of};
+  } else if (this->listed.to.era != page.era) {
+    this->Relist();
+    return;
   }
   const bool more = page.more && !page.items.empty();
   for (schema::KeyValue& item : page.items) {
@@ -114,7 +128,7 @@
     this->events.on_items(std::move(this->listed));
     return;
   }
-  this->revision = std::max(this->revision, this->listed.to_revision);
+  this->position = std::max(this->position, this->listed.to);
   this->must_list = false;
   this->unconfirmed = false;
   const uint64_t epoch = this->epoch;
@@ -124,6 +138,11 @@
   }
 }
 
+void PrefixWatcher::Relist() {
+  this->must_list = true;
+  this->Run();
+}
+
 void PrefixWatcher::WatchNext() {
   const bool is_first = this->unconfirmed || this->failures > 0;
   const absl::Duration wait =
@@ -134,12 +153,13 @@
           : std::clamp(2 * this->latency, this->settings.min_response_margin,
                        this->settings.max_response_margin);
   this->source.Watch(
-      this->prefix, this->revision, wait, margin,
-      [this, from = this->revision, epoch = this->epoch, wait,
+      this->prefix, this->position.revision, wait, margin,
+      [this, from = this->position, epoch = this->epoch, wait,
        sent_at = BootNow()](base::Result<SourcePage, SourceError> page) {
         if (epoch != this->epoch) {
           return;
         }
+        page = this->CheckEra(std::move(page));
         if (!page) {
           this->OnFailure(page.error());
           return;
@@ -153,15 +173,26 @@
       });
 }
 
-void PrefixWatcher::OnWatched(uint64_t from, SourcePage page) {
+void PrefixWatcher::OnWatched(const base::StorePosition& from,
+                              SourcePage page) {
+  // The revision of an older era may exist in the newer one too, so the answer
+  // need not be kCompacted.
+  if (page.era > this->position.era) {
+    this->Relist();
+    return;
+  }
+  // AdvanceTo was called meanwhile.
+  if (page.era != from.era) {
+    this->WatchNext();
+    return;
+  }
   feed::ReplicaUpdate changes;
-  changes.era = page.era;
-  changes.from_revision = from;
-  changes.to_revision = std::max(from, page.as_of);
+  changes.from = from;
+  changes.to = {page.era, std::max(from.revision, page.as_of)};
   for (const schema::KeyValue& item : page.items) {
-    changes.to_revision = std::max(changes.to_revision, item.revision);
+    changes.to.revision = std::max(changes.to.revision, item.revision);
   }
-  this->revision = std::max(this->revision, changes.to_revision);
+  this->position = std::max(this->position, changes.to);
   const bool changed = !page.items.empty();
   changes.items = std::move(page.items);
   const uint64_t epoch = this->epoch;
@@ -196,8 +227,7 @@
 
 void PrefixWatcher::OnFailure(const SourceError& error) {
   if (error.code == SourceErrorCode::kCompacted) {
-    this->must_list = true;
-    this->Run();
+    this->Relist();
     return;
   }
   const uint32_t doublings = std::min(this->failures, kMaxDoublings);
--- a/src/boragepaddle/event/prefix_watcher.h
+++ b/src/boragepaddle/event/prefix_watcher.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "boragepaddle/base/store_position.h"
 #include "boragepaddle/event/key_value_source.h"
 #include "boragepaddle/feed/replica.h"
 
@@ -47,7 +48,8 @@
 };
 
 /// Tracks all keys with a prefix: lists them, then watches for changes, and
-/// lists them again if the source has compacted the changes that it needs.
+/// lists them again if the source has compacted the changes that it needs or
+/// answers in a newer era.
 class PrefixWatcher {
  public:
   PrefixWatcher(boost::asio::io_context& loop,
@@ -66,8 +68,8 @@
   /// process was suspended, when the connection may be dead.
   void Restart();
 
-  /// Skips changes up to the revision, which were learned from another source.
-  void AdvanceTo(uint64_t revision);
+  /// Skips changes up to the position, which were learned from another source.
+  void AdvanceTo(const base::StorePosition& position);
 
  private:
   enum class Mode : uint8_t { kStopped, kReadOnce, kFollow };
@@ -75,12 +77,17 @@
   void Begin(Mode mode);
   void Run();
   void ListPage(const std::string& after_key);
+  /// Turns an answer of an older era into a failure.
+  base::Result<SourcePage, SourceError> CheckEra(
+      base::Result<SourcePage, SourceError> page) const;
   void OnPage(SourcePage page);
   void FinishList();
+  /// Lists again, since the changes after the known position are not available.
+  void Relist();
   void WatchNext();
   /// Calls `next` after the pause unless the watcher restarts or stops first.
   void RunAfter(absl::Duration pause, void (PrefixWatcher::*next)());
-  void OnWatched(uint64_t from, SourcePage page);
+  void OnWatched(const base::StorePosition& from, SourcePage page);
   void OnFailure(const SourceError& error);
   void OnSuccess();
 
@@ -90,8 +97,8 @@
   PrefixWatcherEvents events;
   boost::asio::steady_timer timer;
   Mode mode = Mode::kStopped;
-  /// Revision up to which all changes are known.
-  uint64_t revision = 0;
+  /// Position up to which all changes are known.
+  base::StorePosition position;
   bool must_list = true;
   /// No answer since the start or the last restart has confirmed that the
   /// source is reachable.
--- a/src/boragepaddle/feed/feed_state.cc
+++ b/src/boragepaddle/feed/feed_state.cc
@@ -139,8 +139,8 @@
       found != state.sources.end() && found->second.subscribed;
   const absl::Time confirmed_at = TimeFromAge(stamp.age_us, now);
   if (!is_source &&
-      (stamp.origin == state.self.address || IsCurrent(state, now) ||
-       now - confirmed_at > state.settings.max_age)) {
+      (stamp.origin == state.self.address || stamp.era < state.era ||
+       IsCurrent(state, now) || now - confirmed_at > state.settings.max_age)) {
     return false;
   }
   FeedSource& source = is_source ? found->second : state.sources[address];
@@ -153,13 +153,13 @@
   source.confirmed_at = confirmed_at;
   source.origin = stamp.origin;
   source.outage_at = TimeFromAge(stamp.outage_age_us, now);
-  source.revision = stamp.revision;
+  source.position = {stamp.era, stamp.revision};
   source.digest = stamp.digest;
   return !is_source;
 }
 
 FetchRequest NextFetch(FeedState& state,
-                       uint64_t revision,
+                       const base::StorePosition& position,
                        uint64_t digest,
                        absl::Time now) {
   FetchRequest request;
@@ -170,13 +170,13 @@
   const FeedSource* best = nullptr;
   for (const auto& [address, source] : state.sources) {
     const bool differs =
-        source.revision > revision ||
-        (source.revision == revision && source.digest != digest);
+        source.position > position ||
+        (source.position == position && source.digest != digest);
     if (!IsAlive(state, source, now) || !differs ||
         address == state.fetching_from) {
       continue;
     }
-    if (best == nullptr || source.revision > best->revision) {
+    if (best == nullptr || source.position > best->position) {
       best = &source;
       request.address = address;
     }
@@ -185,9 +185,9 @@
   if (best == nullptr) {
     return request;
   }
-  // Equal revisions with different digests: earlier changes are missing, so
+  // Equal positions with different digests: earlier changes are missing, so
   // only a snapshot repairs the copy.
-  request.is_snapshot = revision == 0 || best->revision == revision;
+  request.is_snapshot = position.revision == 0 || best->position == position;
   if (request.is_snapshot) {
     if (now - state.snapshot_requested_at <
         state.settings.min_snapshot_interval) {
@@ -315,11 +315,12 @@
 }
 
 schema::FeedStamp MakeStamp(const FeedState& state,
-                            uint64_t revision,
+                            const base::StorePosition& position,
                             uint64_t digest,
                             absl::Time now) {
   schema::FeedStamp stamp;
-  stamp.revision = revision;
+  stamp.era = position.era;
+  stamp.revision = position.revision;
   stamp.digest = digest;
   const Confirmation confirmation = BestConfirmation(state, now);
   stamp.age_us = AgeFromTime(confirmation.at, now);
--- a/src/boragepaddle/feed/feed_state.h
+++ b/src/boragepaddle/feed/feed_state.h
@@ -10,6 +10,7 @@
 #include "absl/container/btree_set.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "boragepaddle/base/store_position.h"
 #include "boragepaddle/feed/distribution_tree.h"
 #include "boragepaddle/schema/messages.h"
 
@@ -74,7 +75,7 @@
   /// Time since which its copy is too old; infinite future while it is current.
   absl::Time stale_since = absl::InfiniteFuture();
   absl::Time backoff_until = absl::InfinitePast();
-  uint64_t revision = 0;
+  base::StorePosition position;
   uint64_t digest = 0;
 };
 
@@ -83,6 +84,8 @@
 struct FeedState {
   FeedSettings settings;
   Host self;
+  /// Era of the node's own copy. Copies of older eras confirm nothing.
+  uint64_t era = 0;
   size_t fleet_size = 0;
   bool is_reader = false;
   /// Addresses of the nodes that read the store.
@@ -153,10 +156,10 @@
              const schema::FeedStamp& stamp,
              absl::Time now);
 
-/// Returns the next fetch, given the revision and the digest of the node's own
+/// Returns the next fetch, given the position and the digest of the node's own
 /// copy.
 FetchRequest NextFetch(FeedState& state,
-                       uint64_t revision,
+                       const base::StorePosition& position,
                        uint64_t digest,
                        absl::Time now);
 
@@ -198,7 +201,7 @@
 
 /// Makes the stamp that is sent to the subscribers.
 schema::FeedStamp MakeStamp(const FeedState& state,
-                            uint64_t revision,
+                            const base::StorePosition& position,
                             uint64_t digest,
                             absl::Time now);
 
--- a/src/boragepaddle/feed/replica.cc
+++ b/src/boragepaddle/feed/replica.cc
@@ -47,11 +47,13 @@
          change.revision > removed->second;
 }
 
-bool ApplyChange(Replica& replica, const schema::KeyValue& change) {
-  if (!IsNewer(replica, change)) {
+/// Returns false if this changes nothing.
+bool StoreChange(Replica& replica, const schema::KeyValue& change) {
+  const auto found = replica.items.find(change.key);
+  const bool known = found != replica.items.end();
+  if (known && found->second == change) {
     return false;
   }
-  const bool known = replica.items.contains(change.key);
   EraseItem(replica, change.key);
   if (change.removed) {
     RecordTombstone(replica, change);
@@ -71,8 +73,10 @@
   }
   std::vector<schema::KeyValue> removals;
   for (const auto& [key, item] : replica.items) {
-    if (!present.contains(key) && item.revision <= update.to_revision) {
-      removals.push_back({key, "", update.to_revision, true});
+    const bool is_newer = replica.position.era == update.to.era &&
+                          item.revision > update.to.revision;
+    if (!present.contains(key) && !is_newer) {
+      removals.push_back({key, "", update.to.revision, true});
     }
   }
   return removals;
@@ -82,11 +86,12 @@
 
 UpdateResult ApplyUpdate(Replica& replica, ReplicaUpdate update) {
   UpdateResult result;
-  if (update.to_revision < replica.revision) {
+  if (update.to < replica.position) {
     result.error = UpdateError::kOutdated;
     return result;
   }
-  if (!update.is_snapshot && update.from_revision > replica.revision) {
+  const bool changes_era = update.to.era != replica.position.era;
+  if (!update.is_snapshot && (changes_era || update.from > replica.position)) {
     result.error = UpdateError::kGap;
     return result;
   }
@@ -95,26 +100,36 @@
       update.items.push_back(std::move(removal));
     }
   }
+  if (changes_era) {
+    // Their revisions are given out again.
+    replica.tombstones.clear();
+    replica.tombstone_revisions.clear();
+    replica.has_changed_era |= replica.position.era != 0;
+  }
   for (schema::KeyValue& item : update.items) {
-    if (ApplyChange(replica, item)) {
+    if ((changes_era || IsNewer(replica, item)) && StoreChange(replica, item)) {
       result.changes.push_back(std::move(item));
     }
   }
-  replica.revision = update.to_revision;
+  replica.position = update.to;
   return result;
 }
 
-ReplicaUpdate ChangesAfter(const Replica& replica, uint64_t revision) {
+ReplicaUpdate ChangesAfter(const Replica& replica,
+                           const base::StorePosition& position) {
+  if (position.era != replica.position.era) {
+    return FullSnapshot(replica);
+  }
   ReplicaUpdate update;
-  update.from_revision = revision;
-  update.to_revision = replica.revision;
+  update.from = position;
+  update.to = replica.position;
   for (const schema::KeyValue& removal : replica.tombstones) {
-    if (removal.revision > revision) {
+    if (removal.revision > position.revision) {
       update.items.push_back(removal);
     }
   }
   for (const auto& [key, item] : replica.items) {
-    if (item.revision > revision) {
+    if (item.revision > position.revision) {
       update.items.push_back(item);
     }
   }
@@ -128,7 +143,7 @@
 
 ReplicaUpdate FullSnapshot(const Replica& replica) {
   ReplicaUpdate update;
-  update.to_revision = replica.revision;
+  update.to = replica.position;
   update.is_snapshot = true;
   for (const auto& [key, item] : replica.items) {
     update.items.push_back(item);
--- a/src/boragepaddle/feed/replica.h
+++ b/src/boragepaddle/feed/replica.h
@@ -9,14 +9,17 @@
 
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
+#include "boragepaddle/base/store_position.h"
 #include "boragepaddle/schema/messages.h"
 
 namespace boragepaddle::feed {
 
 /// Local copy of a revisioned key-value store.
 struct Replica {
-  /// All changes up to this revision are applied; 0 if the copy is empty.
-  uint64_t revision = 0;
+  /// All changes up to this position are applied; revision 0 if the copy is
+  /// empty. The revisions of the items belong to this era, or were restored in
+  /// it.
+  base::StorePosition position;
   absl::btree_map<std::string, schema::KeyValue> items;
   /// Digest of the keys and revisions of all items; equal for copies with equal
   /// items.
@@ -27,17 +30,18 @@
   absl::flat_hash_map<std::string, uint64_t> tombstone_revisions;
   /// Limit on tombstones; more than the removals of a fleet during any read.
   size_t max_tombstones = 4096;
+  /// The copy has followed the store from one era to another.
+  bool has_changed_era = false;
 };
 
-/// Changes between two revisions, or a snapshot of all items at a revision.
+/// Changes between two positions of one era, or a snapshot of all items at a
+/// position.
 struct ReplicaUpdate {
-  uint64_t from_revision = 0;
-  uint64_t to_revision = 0;
+  base::StorePosition from;
+  base::StorePosition to;
   /// Snapshot: keys that are not among the items no longer exist.
   bool is_snapshot = false;
   std::vector<schema::KeyValue> items;
-  /// Era of the store in which the update was read; 0 if unknown.
-  uint64_t era = 0;
 };
 
 enum class UpdateError : uint8_t {
@@ -54,13 +58,16 @@
   std::vector<schema::KeyValue> changes;
 };
 
-/// Applies an update. Items never return to an older revision, in whatever
-/// order updates arrive.
+/// Applies an update. Within an era, items never return to an older revision,
+/// in whatever order updates arrive. A snapshot of a newer era replaces all
+/// items; one of an older era is outdated.
 UpdateResult ApplyUpdate(Replica& replica, ReplicaUpdate update);
 
-/// Changes after the revision, as far as tombstones are retained. A receiver
-/// that misses an older removal detects this by the digest.
-ReplicaUpdate ChangesAfter(const Replica& replica, uint64_t revision);
+/// Changes after the position, as far as tombstones are retained. A receiver
+/// that misses an older removal detects this by the digest. A full snapshot if
+/// the position is in another era.
+ReplicaUpdate ChangesAfter(const Replica& replica,
+                           const base::StorePosition& position);
 
 ReplicaUpdate FullSnapshot(const Replica& replica);
 
--- a/src/boragepaddle/feed/source_selection.cc
+++ b/src/boragepaddle/feed/source_selection.cc
@@ -80,7 +80,8 @@
       origin != state.self.address &&
       (!state.reading || state.readers.contains(origin) ||
        origin < state.self.address);
-  return is_independent && IsAlive(state, source, now) &&
+  return is_independent && source.position.era >= state.era &&
+         IsAlive(state, source, now) &&
          now - source.confirmed_at <= state.settings.max_age;
 }
 
@@ -103,7 +104,8 @@
   }
   for (const auto& [address, source] : state.sources) {
     const Confirmation reported{source.confirmed_at, source.origin};
-    if (IsAlive(state, source, now) && source.origin != state.self.address &&
+    if (IsAlive(state, source, now) && source.position.era >= state.era &&
+        source.origin != state.self.address &&
         IsPreferred(state, reported, best, now)) {
       best = reported;
     }
--- a/src/boragepaddle/proxy/account_limiter.cc
+++ b/src/boragepaddle/proxy/account_limiter.cc
@@ -108,8 +108,8 @@
         accounts[account.name] = {account.rate_per_s, account.burst};
       }
     }
-    limits::SetAccounts(this->node, accounts, this->routes->revision, now,
-                        output);
+    limits::SetAccounts(this->node, accounts, this->routes->position.revision,
+                        now, output);
     // A deployment that begins to use limits needs the hosts.
     this->hosts_generation = 0;
   }
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -244,8 +244,9 @@
 
 StoreReplicatorEvents ProxyNode::MakeReplicatorEvents() {
   StoreReplicatorEvents events;
-  events.on_changes = [this](const std::vector<schema::KeyValue>& items) {
-    this->ApplyChanges(items);
+  events.on_changes = [this](const std::vector<schema::KeyValue>& items,
+                             uint64_t era) {
+    this->ReportChanges(ApplyItems(this->store, items, era, event::BootNow()));
   };
   events.on_outage = [this](absl::Time at) {
     catalog::OnSourceFailure(this->store.workers, at);
@@ -253,8 +254,7 @@
   return events;
 }
 
-void ProxyNode::ApplyChanges(const std::vector<schema::KeyValue>& items) {
-  const auto changes = ApplyItems(this->store, items, event::BootNow());
+void ProxyNode::ReportChanges(const std::vector<StoreChange>& changes) {
   bool changed = false;
   for (const StoreChange& change : changes) {
     if (change.kind == StoreChange::Kind::kUnchanged) {
@@ -263,7 +263,8 @@
     changed = true;
     this->log.LogState(LogLine("store", KindName(change.kind))
                            .Add("key", change.key)
-                           .Add("revision", change.revision)
+                           .Add("era", change.position.era)
+                           .Add("revision", change.position.revision)
                            .Add("detail", change.detail));
   }
   if (changed) {
@@ -339,11 +340,20 @@
       "config_revision",
       this->store.routes == nullptr
           ? 0
-          : static_cast<double>(this->store.routes->revision));
-  this->metrics.SetGauge("feed_revision",
-                         static_cast<double>(this->replicator.revision()));
+          : static_cast<double>(this->store.routes->position.revision));
+  this->metrics.SetGauge(
+      "config_era",
+      this->store.routes == nullptr
+          ? 0
+          : static_cast<double>(this->store.routes->position.era));
+  this->metrics.SetGauge(
+      "feed_revision",
+      static_cast<double>(this->replicator.position().revision));
   this->metrics.SetGauge("feed_store_era",
-                         static_cast<double>(this->replicator.store_era()));
+                         static_cast<double>(this->replicator.position().era));
+  this->metrics.SetGauge(
+      "feed_store_era_age_seconds",
+      absl::ToDoubleSeconds(this->replicator.EraAge(event::BootNow())));
   this->metrics.SetGauge("feed_store_answers",
                          static_cast<double>(this->replicator.store_answers()));
   this->metrics.SetGauge(
--- a/src/boragepaddle/proxy/proxy_node.h
+++ b/src/boragepaddle/proxy/proxy_node.h
@@ -114,7 +114,7 @@
   void OnClientIncident(const event::HttpServerIncident& incident);
   void OnReadyProbe(const std::shared_ptr<event::HttpExchange>& exchange);
   void OnMetricsRequest(const std::shared_ptr<event::HttpExchange>& exchange);
-  void ApplyChanges(const std::vector<schema::KeyValue>& items);
+  void ReportChanges(const std::vector<StoreChange>& changes);
   void OnStateChanged();
   schema::PeerHello MakeHello() const;
   bool HasStoreState() const;
--- a/src/boragepaddle/proxy/store_replicator.cc
+++ b/src/boragepaddle/proxy/store_replicator.cc
@@ -52,7 +52,8 @@
       // One watch of the empty prefix covers all keys: the store charges each
       // call alike.
       watch(loop, source, "", WatchSettings(), this->MakeWatchEvents()),
-      started_at(event::BootNow()) {
+      started_at(event::BootNow()),
+      era_since(started_at) {
   this->feed_state.settings = feed::MakeFeedSettings(settings.change_deadline);
   this->feed_state.self = {settings.host, settings.availability_zone};
 }
@@ -79,7 +80,9 @@
     this->ReportOutage(now);
     this->log.LogState(LogLine("store", "lost")
                            .Add("error", event::ToString(error.code))
-                           .Add("status", error.status));
+                           .Add("status", error.status)
+                           .Add("era", error.era)
+                           .Add("known_era", this->replica.position.era));
   };
   watch_events.on_recovery = [this] {
     const absl::Time now = event::BootNow();
@@ -93,36 +96,46 @@
 void StoreReplicator::OnStoreUpdate(feed::ReplicaUpdate page) {
   const absl::Time now = event::BootNow();
   ++this->read_answers;
-  this->LogEra(page);
-  if (this->feed_state.reading) {
+  // After a return of the store, some of its addresses may still answer in the
+  // era before.
+  const bool is_older_era = page.to.era < this->replica.position.era;
+  if (this->feed_state.reading && is_older_era) {
+    feed::OnStoreReadFailed(this->feed_state, now);
+  } else if (this->feed_state.reading) {
     feed::OnStoreReadSucceeded(this->feed_state, now);
   }
   this->Apply(std::move(page), "store");
   this->NotifyIfDue(now);
 }
 
-void StoreReplicator::LogEra(const feed::ReplicaUpdate& page) {
-  if (page.era == this->read_era) {
-    return;
+void StoreReplicator::OnEraChanged(const base::StorePosition& before,
+                                   absl::string_view from) {
+  const absl::Time now = event::BootNow();
+  this->feed_state.era = this->replica.position.era;
+  this->era_since = now;
+  if (this->feed_state.reading) {
+    // Saves a list of what another node has sent.
+    this->watch.AdvanceTo(this->replica.position);
   }
-  this->log.LogState(LogLine("store", "era_changed")
-                         .Add("before", this->read_era)
-                         .Add("era", page.era)
-                         .Add("revision", page.to_revision)
-                         .Add("known_revision", this->replica.revision));
-  this->read_era = page.era;
+  this->log.LogState(LogLine("feed", "era_changed")
+                         .Add("from", from)
+                         .Add("era_before", before.era)
+                         .Add("revision_before", before.revision)
+                         .Add("era", this->replica.position.era)
+                         .Add("revision", this->replica.position.revision));
 }
 
 feed::UpdateError StoreReplicator::Apply(feed::ReplicaUpdate page,
                                          absl::string_view from) {
   const absl::Time now = event::BootNow();
-  const uint64_t before = this->replica.revision;
+  const base::StorePosition before = this->replica.position;
   LogLine unused("feed", "page_unused");
   unused.Add("from", from)
-      .Add("known_revision", before)
-      .Add("era", page.era)
-      .Add("from_revision", page.from_revision)
-      .Add("to_revision", page.to_revision)
+      .Add("known_era", before.era)
+      .Add("known_revision", before.revision)
+      .Add("era", page.to.era)
+      .Add("from_revision", page.from.revision)
+      .Add("to_revision", page.to.revision)
       .Add("snapshot", page.is_snapshot)
       .Add("items", page.items.size());
   const feed::UpdateResult result =
@@ -132,13 +145,20 @@
         unused.Add("gap", result.error == feed::UpdateError::kGap));
     return result.error;
   }
+  const bool changes_era = before.era != this->replica.position.era;
+  if (changes_era) {
+    this->OnEraChanged(before, from);
+  }
   if (!result.changes.empty()) {
     this->log.LogState(LogLine("feed", "applied")
                            .Add("from", from)
-                           .Add("before", before)
-                           .Add("revision", this->replica.revision)
+                           .Add("before", before.revision)
+                           .Add("revision", this->replica.position.revision)
+                           .Add("era", this->replica.position.era)
                            .Add("changes", result.changes.size()));
-    this->events.on_changes(result.changes);
+  }
+  if (changes_era || !result.changes.empty()) {
+    this->events.on_changes(result.changes, this->replica.position.era);
     this->NotifySubscribers(now);
   }
   return result.error;
@@ -188,7 +208,7 @@
           .Add("age_ms", stamp.age_us / kMicrosecondsPerMillisecond)
           .Add("origin", stamp.origin)
           .Add("reads", this->feed_state.reading)
-          .Add("revision", this->replica.revision));
+          .Add("revision", this->replica.position.revision));
 }
 
 void StoreReplicator::OnProcessPause(absl::Time now) {
@@ -208,7 +228,7 @@
   }
   if (actions.start_reading) {
     if (this->ever_current) {
-      this->watch.AdvanceTo(this->replica.revision);
+      this->watch.AdvanceTo(this->replica.position);
     }
     this->watch.Follow();
   }
@@ -220,7 +240,7 @@
         LogLine("feed", actions.start_reading ? "reads" : "reads_no_more")
             .Add("reader", this->feed_state.is_reader)
             .Add("sources", this->source_channels.size())
-            .Add("revision", this->replica.revision));
+            .Add("revision", this->replica.position.revision));
   }
 }
 
@@ -244,11 +264,12 @@
 
 void StoreReplicator::Fetch(absl::Time now) {
   const feed::FetchRequest request = feed::NextFetch(
-      this->feed_state, this->replica.revision, this->replica.digest, now);
+      this->feed_state, this->replica.position, this->replica.digest, now);
   const auto found = this->source_channels.find(request.address);
   if (found != this->source_channels.end()) {
-    found->second->Send(
-        schema::FeedFetch{this->replica.revision, request.is_snapshot});
+    found->second->Send(schema::FeedFetch{this->replica.position.revision,
+                                          request.is_snapshot,
+                                          this->replica.position.era});
   }
 }
 
@@ -261,10 +282,20 @@
 }
 
 schema::FeedStamp StoreReplicator::CurrentStamp(absl::Time now) const {
-  return feed::MakeStamp(this->feed_state, this->replica.revision,
+  return feed::MakeStamp(this->feed_state, this->replica.position,
                          this->replica.digest, now);
 }
 
+// Until a return of the store, nodes of earlier releases hold the same copies,
+// and during a rolling release they may be the only sources. After a return
+// they would pass on what the store has lost.
+schema::FeedStamp StoreReplicator::WithEra(schema::FeedStamp stamp) const {
+  if (stamp.era == 0 && !this->replica.has_changed_era) {
+    stamp.era = this->replica.position.era;
+  }
+  return stamp;
+}
+
 void StoreReplicator::NotifySubscribers(absl::Time now) {
   this->LogCurrency(now);
   feed::OnNoticeSent(this->feed_state, now);
@@ -293,7 +324,8 @@
     return true;
   }
   if (const auto* notice = std::get_if<schema::FeedNotice>(&message)) {
-    if (feed::OnStamp(this->feed_state, channel->host, notice->stamp, now)) {
+    if (feed::OnStamp(this->feed_state, channel->host,
+                      this->WithEra(notice->stamp), now)) {
       this->Subscribe(channel->host);
     }
     this->ReportOutage(now);
@@ -302,11 +334,15 @@
     return true;
   }
   if (const auto* fetch = std::get_if<schema::FeedFetch>(&message)) {
-    feed::ReplicaUpdate page =
-        fetch->whole ? feed::FullSnapshot(this->replica)
-                     : feed::ChangesAfter(this->replica, fetch->after_revision);
+    // Nodes of earlier releases name no era.
+    const base::StorePosition after{
+        fetch->era == 0 ? this->replica.position.era : fetch->era,
+        fetch->after_revision};
+    feed::ReplicaUpdate page = fetch->whole
+                                   ? feed::FullSnapshot(this->replica)
+                                   : feed::ChangesAfter(this->replica, after);
     channel->Send(schema::FeedUpdate{this->CurrentStamp(now),
-                                     page.from_revision, page.is_snapshot,
+                                     page.from.revision, page.is_snapshot,
                                      std::move(page.items)});
     return true;
   }
@@ -320,14 +356,15 @@
 void StoreReplicator::OnUpdate(const PeerChannelPtr& channel,
                                const schema::FeedUpdate& update) {
   const absl::Time now = event::BootNow();
+  const schema::FeedStamp stamp = this->WithEra(update.stamp);
   if (this->source_channels.contains(channel->host)) {
-    feed::OnStamp(this->feed_state, channel->host, update.stamp, now);
+    feed::OnStamp(this->feed_state, channel->host, stamp, now);
   }
   feed::OnFetchCompleted(this->feed_state, channel->host);
   this->ReportOutage(now);
   feed::ReplicaUpdate page;
-  page.from_revision = update.from_revision;
-  page.to_revision = update.stamp.revision;
+  page.from = {stamp.era, update.from_revision};
+  page.to = {stamp.era, stamp.revision};
   page.is_snapshot = update.whole;
   page.items = update.items;
   this->Apply(std::move(page), channel->host);
--- a/src/boragepaddle/proxy/store_replicator.h
+++ b/src/boragepaddle/proxy/store_replicator.h
@@ -25,7 +25,9 @@
 
 /// Callbacks of a store replicator.
 struct StoreReplicatorEvents {
-  std::function<void(const std::vector<schema::KeyValue>&)> on_changes;
+  /// Changes of the copy, which is now in the given era of the store.
+  std::function<void(const std::vector<schema::KeyValue>&, uint64_t era)>
+      on_changes;
   /// The store failed at the given time.
   std::function<void(absl::Time)> on_outage;
 };
@@ -60,9 +62,11 @@
   /// never was.
   absl::Duration CopyAge(absl::Time now) const;
 
-  uint64_t revision() const { return this->replica.revision; }
-  /// Era of the store's last answer to this node, and the number of answers.
-  uint64_t store_era() const { return this->read_era; }
+  /// Position up to which this node knows the store.
+  const base::StorePosition& position() const { return this->replica.position; }
+  /// Time since which the copy has been in its era.
+  absl::Duration EraAge(absl::Time now) const { return now - this->era_since; }
+  /// Number of the store's answers to this node.
   uint64_t store_answers() const { return this->read_answers; }
   size_t subscribers() const { return this->subscriber_channels.size(); }
   const feed::FeedState& state() const { return this->feed_state; }
@@ -75,6 +79,8 @@
   void OnUpdate(const event::PeerChannelPtr& channel,
                 const schema::FeedUpdate& update);
   feed::UpdateError Apply(feed::ReplicaUpdate page, absl::string_view from);
+  /// The copy has reached another era with an update from the store or a host.
+  void OnEraChanged(const base::StorePosition& before, absl::string_view from);
   void ApplyActions(const feed::FeedActions& actions);
   void Subscribe(const std::string& address);
   void Unsubscribe(const std::string& address);
@@ -86,9 +92,9 @@
   void NotifyIfDue(absl::Time now);
   /// Logs if the copy became stale or current since the last notice.
   void LogCurrency(absl::Time now);
-  /// Logs if the store answers in another era than before.
-  void LogEra(const feed::ReplicaUpdate& page);
   schema::FeedStamp CurrentStamp(absl::Time now) const;
+  /// The stamp as sent by this release. Earlier ones send no era.
+  schema::FeedStamp WithEra(schema::FeedStamp stamp) const;
 
   const NodeSettings& settings;
   PeerNetwork& peers;
@@ -102,7 +108,7 @@
   absl::Time discovery_read_at = absl::InfinitePast();
   bool ever_current = false;
   absl::Time reported_outage_at = absl::InfinitePast();
-  uint64_t read_era = 0;
+  absl::Time era_since;
   uint64_t read_answers = 0;
   /// Channels to the sources by address.
   absl::flat_hash_map<std::string, event::PeerChannelPtr> source_channels;
--- a/src/boragepaddle/proxy/store_state.cc
+++ b/src/boragepaddle/proxy/store_state.cc
@@ -12,16 +12,18 @@
 using Kind = StoreChange::Kind;
 
 StoreChange ApplyConfig(StoreState& state, const schema::KeyValue& item) {
-  StoreChange change{Kind::kConfigRefused, item.key, item.revision, ""};
+  StoreChange change{
+      Kind::kConfigRefused, item.key, {state.era, item.revision}, ""};
   if (item.removed) {
     change.detail = "removed; the previous configuration stays in force";
     return change;
   }
-  if (state.routes != nullptr && state.routes->revision >= item.revision) {
+  if (state.routes != nullptr && state.routes->position >= change.position) {
     change.kind = Kind::kEntryIgnored;
     change.detail =
         absl::StrCat("not newer than version ", state.routes->version,
-                     " of revision ", state.routes->revision);
+                     " of revision ", state.routes->position.revision,
+                     " in era ", state.routes->position.era);
     return change;
   }
   auto decoded = state.dialect.decode_catalog(item.value);
@@ -31,7 +33,7 @@
   }
   auto routes =
       std::make_shared<catalog::RouteCatalog>(std::move(decoded.value()));
-  routes->revision = item.revision;
+  routes->position = change.position;
   change.kind = Kind::kConfigAccepted;
   change.detail = absl::StrCat("version=", routes->version,
                                " routes=", routes->routes.size());
@@ -42,12 +44,13 @@
 StoreChange ApplyWorker(StoreState& state,
                         const schema::KeyValue& item,
                         absl::Time now) {
-  StoreChange change{Kind::kWorkerRemoved, item.key, item.revision, ""};
+  StoreChange change{
+      Kind::kWorkerRemoved, item.key, {state.era, item.revision}, ""};
   const std::string instance =
       item.key.substr(state.dialect.worker_prefix.size());
   const auto known = state.workers.entries.find(instance);
   if (!item.removed && known != state.workers.entries.end() &&
-      known->second.revision == item.revision) {
+      known->second.position == change.position) {
     change.kind = Kind::kUnchanged;
     catalog::ConfirmWorker(state.workers, instance);
     return change;
@@ -56,7 +59,7 @@
     auto decoded = state.dialect.decode_worker(item.key, item.value);
     if (decoded) {
       catalog::WorkerEntry entry = std::move(decoded.value());
-      entry.revision = item.revision;
+      entry.position = change.position;
       change.kind = Kind::kWorkerListed;
       change.detail = absl::StrCat(
           "service=", entry.service, " address=", entry.address,
@@ -69,7 +72,7 @@
     change.detail = decoded.error().detail;
   }
   // A malformed entry lists no worker either.
-  catalog::RemoveWorker(state.workers, instance, item.revision, now);
+  catalog::RemoveWorker(state.workers, instance, change.position, now);
   return change;
 }
 
@@ -78,7 +81,9 @@
 std::vector<StoreChange> ApplyItems(
     StoreState& state,
     const std::vector<schema::KeyValue>& changes,
+    uint64_t era,
     absl::Time now) {
+  state.era = era;
   std::vector<StoreChange> applied;
   for (const schema::KeyValue& item : changes) {
     if (item.key == state.dialect.config_key) {
--- a/src/boragepaddle/proxy/store_state.h
+++ b/src/boragepaddle/proxy/store_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "boragepaddle/base/store_position.h"
 #include "boragepaddle/catalog/route_catalog.h"
 #include "boragepaddle/catalog/worker_directory.h"
 #include "boragepaddle/proxy/dialect.h"
@@ -26,22 +27,26 @@
   };
   Kind kind = Kind::kEntryIgnored;
   std::string key;
-  uint64_t revision = 0;
+  base::StorePosition position;
   std::string detail;
 };
 
 /// Decoded content of the store: the routes in force and the workers.
 struct StoreState {
   StoreDialect dialect;
+  /// Era of the store whose items were applied last.
+  uint64_t era = 0;
   /// Null before the first configuration.
   std::shared_ptr<const catalog::RouteCatalog> routes;
   catalog::WorkerDirectory workers;
 };
 
-/// Applies items in order. An older configuration never replaces a newer one.
+/// Applies the changes of one update of the copy, in order. Within an era, an
+/// older configuration never replaces a newer one.
 std::vector<StoreChange> ApplyItems(
     StoreState& state,
     const std::vector<schema::KeyValue>& changes,
+    uint64_t era,
     absl::Time now);
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -184,7 +184,7 @@
 bool operator==(const FeedStamp& a, const FeedStamp& b) {
   return a.revision == b.revision && a.digest == b.digest &&
          a.age_us == b.age_us && a.outage_age_us == b.outage_age_us &&
-         a.origin == b.origin;
+         a.origin == b.origin && a.era == b.era;
 }
 
 bool operator!=(const FeedStamp& a, const FeedStamp& b) {
@@ -539,7 +539,8 @@
 }
 
 bool operator==(const FeedFetch& a, const FeedFetch& b) {
-  return a.after_revision == b.after_revision && a.whole == b.whole;
+  return a.after_revision == b.after_revision && a.whole == b.whole &&
+         a.era == b.era;
 }
 
 bool operator!=(const FeedFetch& a, const FeedFetch& b) {
@@ -656,12 +657,13 @@
 }
 
 void Pack(Packer& packer, const FeedStamp& value) {
-  packer.pack_array(5);
+  packer.pack_array(6);
   Pack(packer, value.revision);
   Pack(packer, value.digest);
   Pack(packer, value.age_us);
   Pack(packer, value.outage_age_us);
   Pack(packer, value.origin);
+  Pack(packer, value.era);
 }
 
 bool Unpack(const msgpack::object& object, FeedStamp* value) {
@@ -671,6 +673,7 @@
   reader.Next(&value->age_us);
   reader.Next(&value->outage_age_us);
   reader.Next(&value->origin);
+  reader.Next(&value->era);
   return reader.ok();
 }
 
@@ -1349,15 +1352,17 @@
 }
 
 void Pack(Packer& packer, const FeedFetch& value) {
-  packer.pack_array(2);
+  packer.pack_array(3);
   Pack(packer, value.after_revision);
   Pack(packer, value.whole);
+  Pack(packer, value.era);
 }
 
 bool Unpack(const msgpack::object& object, FeedFetch* value) {
   ArrayReader reader(object);
   reader.Next(&value->after_revision);
   reader.Next(&value->whole);
+  reader.Next(&value->era);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -184,6 +184,9 @@
   int64_t outage_age_us = 0;
   /// Host whose read of the store the age is based on; empty if unknown.
   std::string origin;
+  /// Era of the store that the revision belongs to; 0 if unknown, as from nodes
+  /// of earlier releases.
+  uint64_t era = 0;
 };
 /// Compares all fields.
 bool operator==(const FeedStamp& a, const FeedStamp& b);
@@ -725,6 +728,8 @@
   uint64_t after_revision = 0;
   /// Requests all items instead.
   bool whole = false;
+  /// Era of the store that the revision belongs to; 0 if unknown.
+  uint64_t era = 0;
 };
 /// Compares all fields.
 bool operator==(const FeedFetch& a, const FeedFetch& b);
--- a/tests/unit/feed/feed_simulation.cc
+++ b/tests/unit/feed/feed_simulation.cc
@@ -45,18 +45,27 @@
 }
 
 void FeedSimulation::Put(const std::string& key) {
-  const uint64_t revision = this->store.content.revision + 1;
+  const base::StorePosition before = this->store.content.position;
+  const uint64_t revision = before.revision + 1;
   ApplyUpdate(this->store.content,
-              {revision - 1,
-               revision,
+              {before,
+               {before.era, revision},
                false,
                {{key, absl::StrCat("v", revision), revision, false}}});
 }
 
 void FeedSimulation::Remove(const std::string& key) {
-  const uint64_t revision = this->store.content.revision + 1;
-  ApplyUpdate(this->store.content,
-              {revision - 1, revision, false, {{key, "", revision, true}}});
+  const base::StorePosition before = this->store.content.position;
+  const uint64_t revision = before.revision + 1;
+  ApplyUpdate(
+      this->store.content,
+      {before, {before.era, revision}, false, {{key, "", revision, true}}});
+}
+
+void FeedSimulation::ReturnFromCopy(const Replica& copy) {
+  ReplicaUpdate restored = FullSnapshot(copy);
+  restored.to.era = this->store.content.position.era + 1;
+  ApplyUpdate(this->store.content, std::move(restored));
 }
 
 size_t FeedSimulation::CountOutdated() const {
@@ -155,7 +164,7 @@
     OnStoreReadFailed(node.state, this->now);
     return;
   }
-  const bool has_changes = this->store.content.revision > node.replica.revision;
+  const bool has_changes = this->store.content.position > node.replica.position;
   if (!has_changes && this->now < node.call_deadline) {
     return;
   }
@@ -168,15 +177,16 @@
   node.next_call =
       this->now + (has_changes ? kChangeBatchDelay : absl::ZeroDuration());
   this->Apply(index,
-              node.replica.revision == 0
+              node.replica.position.revision == 0
                   ? FullSnapshot(this->store.content)
-                  : ChangesAfter(this->store.content, node.replica.revision));
+                  : ChangesAfter(this->store.content, node.replica.position));
   this->NotifyIfDue(index);
 }
 
 void FeedSimulation::Apply(size_t index, ReplicaUpdate page) {
   const UpdateResult result =
       ApplyUpdate(this->nodes[index].replica, std::move(page));
+  this->nodes[index].state.era = this->nodes[index].replica.position.era;
   if (!result.changes.empty()) {
     this->NotifySubscribers(index);
   }
@@ -189,7 +199,7 @@
 }
 
 schema::FeedStamp FeedSimulation::StampOf(const SimulatedNode& node) const {
-  return MakeStamp(node.state, node.replica.revision, node.replica.digest,
+  return MakeStamp(node.state, node.replica.position, node.replica.digest,
                    this->now);
 }
 
@@ -222,13 +232,13 @@
 
 void FeedSimulation::Fetch(size_t index) {
   SimulatedNode& node = this->nodes[index];
-  const FetchRequest request = NextFetch(node.state, node.replica.revision,
+  const FetchRequest request = NextFetch(node.state, node.replica.position,
                                          node.replica.digest, this->now);
   if (request.address.empty()) {
     return;
   }
   const size_t source = this->by_address.at(request.address);
-  const uint64_t after = node.replica.revision;
+  const base::StorePosition after = node.replica.position;
   this->Schedule(
       source, [this, index, source, after, whole = request.is_snapshot] {
         SimulatedNode& sender = this->nodes[source];
--- a/tests/unit/feed/feed_simulation.h
+++ b/tests/unit/feed/feed_simulation.h
@@ -54,6 +54,8 @@
   /// Writes a key to the store.
   void Put(const std::string& key);
   void Remove(const std::string& key);
+  /// The store loses what was written since the copy was made.
+  void ReturnFromCopy(const Replica& copy);
   /// Number of nodes whose items differ from those of the store, without frozen
   /// nodes.
   size_t CountOutdated() const;
--- a/tests/unit/feed/feed_simulation_test.cc
+++ b/tests/unit/feed/feed_simulation_test.cc
@@ -246,5 +246,41 @@
   }
 }
 
+// Guards against nodes that keep what the store lost, from peers or on their
+// own, and against many readings of the store after its return.
+TEST_CASE("All nodes follow a store that comes back from an older copy") {
+  for (const size_t size : {4, 13, 195, 1000}) {
+    for (const uint64_t seed : {1, 2, 3}) {
+      CAPTURE(size);
+      CAPTURE(seed);
+      FeedSimulation simulation = MakeConverged(size, seed);
+      const Replica copy = simulation.store.content;
+      for (size_t index = 0; index < 6; ++index) {
+        simulation.Put("op/config");
+        simulation.Put(absl::StrCat("servers/lost", index));
+        simulation.Remove(absl::StrCat("servers/", index));
+        simulation.RunFor(absl::Milliseconds(400));
+      }
+      simulation.store.down = true;
+      simulation.RunFor(absl::Milliseconds(700));
+      // Frozen over the return, and back with the state before it.
+      SimulatedNode& frozen = simulation.nodes[size / 2];
+      frozen.frozen = seed > 1;
+      simulation.ReturnFromCopy(copy);
+      simulation.store.down = false;
+      const uint64_t calls = simulation.store_calls;
+      simulation.RunFor(absl::Seconds(1));
+      CHECK(simulation.store_calls - calls <= 3 * TreeSettings().readers);
+      // Its revision was given out before the return.
+      simulation.Put("op/config");
+      CHECK(simulation.TimeToConverge(absl::Seconds(5)) < kMaxDelay);
+      frozen.frozen = false;
+      CHECK(simulation.TimeToConverge(absl::Seconds(5)) < kMaxDelay);
+      simulation.RunFor(absl::Seconds(5));
+      CHECK(simulation.CountOutdated() == 0);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace boragepaddle::feed
--- a/tests/unit/platform_path/catalog_test.cc
+++ b/tests/unit/platform_path/catalog_test.cc
@@ -37,7 +37,7 @@
   entry.address = "10.0.0.1:80";
   entry.host = "10.0.0.1";
   entry.slots = 4;
-  entry.revision = revision;
+  entry.position.revision = revision;
   return entry;
 }
 
@@ -54,7 +54,7 @@
 TEST_CASE("Without an outage, a removed worker is dropped at once") {
   WorkerDirectory directory;
   PutWorker(directory, MakeEntry("i-1", 5), At(0));
-  RemoveWorker(directory, "i-1", 6, At(100));
+  RemoveWorker(directory, "i-1", {0, 6}, At(100));
   CHECK(directory.entries.empty());
 }
 
@@ -65,8 +65,8 @@
   PutWorker(directory, MakeEntry("i-1", 5), At(0));
   PutWorker(directory, MakeEntry("i-2", 6), At(0));
   OnSourceFailure(directory, At(10));
-  RemoveWorker(directory, "i-1", 7, At(10));
-  RemoveWorker(directory, "i-2", 8, At(10));
+  RemoveWorker(directory, "i-1", {0, 7}, At(10));
+  RemoveWorker(directory, "i-2", {0, 8}, At(10));
   CHECK_FALSE(ExpireWorkers(directory, At(11.9)));
   PutWorker(directory, MakeEntry("i-2", 9), At(11));
   CHECK(ExpireWorkers(directory, At(12)));
@@ -80,7 +80,7 @@
   entry.draining = true;
   PutWorker(directory, entry, At(0));
   OnSourceFailure(directory, At(10));
-  RemoveWorker(directory, "i-1", 7, At(10));
+  RemoveWorker(directory, "i-1", {0, 7}, At(10));
   CHECK(directory.entries.empty());
 }
 
@@ -91,7 +91,7 @@
   PutWorker(directory, draining, At(0));
   PutWorker(directory, MakeEntry("i-1", 5), At(1));
   CHECK(directory.entries.at("i-1").draining);
-  RemoveWorker(directory, "i-1", 6, At(2));
+  RemoveWorker(directory, "i-1", {0, 6}, At(2));
   CHECK(directory.entries.size() == 1);
 }
 
@@ -125,7 +125,7 @@
   CHECK(IsUsable(directory.entries.at("i-1")));
   CHECK(IsUsable(directory.entries.at("i-3")));
   // The order in which the entries are read makes no difference.
-  crashed.revision = 8;
+  crashed.position.revision = 8;
   PutWorker(directory, crashed, At(2));
   CHECK_FALSE(IsUsable(directory.entries.at("i-2")));
   CHECK(IsUsable(directory.entries.at("i-1")));
@@ -142,17 +142,17 @@
   CHECK_FALSE(MarkLeaving(directory, "i-1", At(1), At(1)));
   CHECK_FALSE(IsUsable(directory.entries.at("i-1")));
   // A change of its entry, and an entry that is listed again after an outage.
-  entry.revision = 6;
+  entry.position.revision = 6;
   PutWorker(directory, entry, At(2));
   CHECK_FALSE(IsUsable(directory.entries.at("i-1")));
   OnSourceFailure(directory, At(3));
-  RemoveWorker(directory, "i-1", 7, At(3));
+  RemoveWorker(directory, "i-1", {0, 7}, At(3));
   CHECK(directory.entries.empty());
-  entry.revision = 8;
+  entry.position.revision = 8;
   PutWorker(directory, entry, At(4));
   CHECK_FALSE(IsUsable(directory.entries.at("i-1")));
   // A later start under the same instance id.
-  entry.revision = 9;
+  entry.position.revision = 9;
   entry.started_ms = 2000;
   PutWorker(directory, entry, At(5));
   CHECK(IsUsable(directory.entries.at("i-1")));
@@ -166,7 +166,7 @@
   entry.started_ms = 99'000;
   PutWorker(directory, entry, At(3));
   CHECK_FALSE(IsUsable(directory.entries.at("i-1")));
-  entry.revision = 6;
+  entry.position.revision = 6;
   entry.started_ms = 101'000;
   PutWorker(directory, entry, At(4));
   CHECK(IsUsable(directory.entries.at("i-1")));
--- a/tests/unit/platform_path/source_watch_test.cc
+++ b/tests/unit/platform_path/source_watch_test.cc
@@ -84,7 +84,7 @@
       watch.ReadOnce();
     } else {
       if (this->known_revision > 0) {
-        watch.AdvanceTo(this->known_revision);
+        watch.AdvanceTo({0, this->known_revision});
       }
       watch.Follow();
     }
@@ -182,11 +182,60 @@
   Harness harness;
   harness.known_revision = 7;
   harness.source.answers = {SourcePage{{}, 7, false}};
-  harness.replica.revision = 7;
+  harness.replica.position.revision = 7;
   harness.Run();
   CHECK(harness.source.calls == std::vector<std::string>{"watch:7", "watch:7"});
   CHECK(harness.source.waits[0] <= absl::Milliseconds(100));
 }
 
+SourcePage PageOfEra(uint64_t era, SourcePage page) {
+  page.era = era;
+  return page;
+}
+
+// Guards against a copy that keeps what the store lost: the revision of the
+// watch exists again in the new era, so the answer is not kCompacted.
+TEST_CASE("An answer in a newer era is followed by a list") {
+  Harness harness;
+  harness.source.answers = {
+      PageOfEra(1, {{{"w/a", "1", 10, false}}, 10, false}),
+      PageOfEra(2, {{{"w/a", "2", 11, false}}, 11, false}),
+      PageOfEra(2, {{{"w/b", "1", 6, false}}, 7, false}),
+      PageOfEra(2, {{}, 7, false})};
+  harness.Run();
+  CHECK(harness.source.calls == std::vector<std::string>{"list:", "watch:10",
+                                                         "list:", "watch:7",
+                                                         "watch:7"});
+  CHECK(harness.replica.position == base::StorePosition{2, 7});
+  CHECK_FALSE(harness.replica.items.contains("w/a"));
+}
+
+TEST_CASE("A list whose pages are of two eras starts again") {
+  Harness harness;
+  harness.source.answers = {PageOfEra(1, {{{"w/a", "1", 10, false}}, 10, true}),
+                            PageOfEra(2, {{{"w/b", "1", 6, false}}, 7, false}),
+                            PageOfEra(2, {{{"w/b", "1", 6, false}}, 7, false})};
+  harness.Run();
+  CHECK(harness.source.calls ==
+        std::vector<std::string>{"list:", "list:w/a", "list:", "watch:7"});
+  CHECK(harness.whole_pages == 1);
+  CHECK_FALSE(harness.replica.items.contains("w/a"));
+}
+
+// Guards against a late answer of the store before its return, and an address
+// that still answers in the era before or names none.
+TEST_CASE("An answer in an older era is a failure and changes nothing") {
+  Harness harness;
+  harness.source.answers = {
+      PageOfEra(2, {{{"w/a", "1", 6, false}}, 7, false}),
+      PageOfEra(1, {{{"w/a", "1", 12, false}}, 12, false}),
+      PageOfEra(0, {{{"w/a", "1", 12, false}}, 12, false}),
+      PageOfEra(2, {{{"w/a", "1", 8, false}}, 8, false})};
+  harness.Run();
+  CHECK(harness.failures == 2);
+  CHECK(harness.recoveries == 1);
+  CHECK(harness.replica.position == base::StorePosition{2, 8});
+}
+
 }  // namespace
 }  // namespace boragepaddle::event
--- a/tests/unit/platform_path/store_state_test.cc
+++ b/tests/unit/platform_path/store_state_test.cc
@@ -2,8 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
 
 namespace boragepaddle::proxy {
 namespace {
@@ -34,7 +36,12 @@
     }
     catalog::WorkerEntry entry;
     entry.instance = std::string(key.substr(2));
-    entry.service = std::string(document);
+    // `SERVICE`, `SERVICE/draining` or `SERVICE@START`.
+    const std::pair<std::string, std::string> start =
+        absl::StrSplit(document, absl::MaxSplits('@', 1));
+    entry.draining = absl::EndsWith(start.first, "/draining");
+    entry.service = std::string(absl::StripSuffix(start.first, "/draining"));
+    entry.started_ms = start.second.empty() ? 0 : start.second[0] - '0';
     return entry;
   };
   return state;
@@ -42,27 +49,28 @@
 
 TEST_CASE("An older configuration does not replace a newer one") {
   StoreState state = MakeState();
-  ApplyItems(state, {{"cfg/now", "v5", 5, false}}, At(0));
-  ApplyItems(state, {{"cfg/now", "v4", 4, false}}, At(1));
+  ApplyItems(state, {{"cfg/now", "v5", 5, false}}, 0, At(0));
+  ApplyItems(state, {{"cfg/now", "v4", 4, false}}, 0, At(1));
   CHECK(state.routes->version == "v5");
-  ApplyItems(state, {{"cfg/now", "v6", 6, false}}, At(2));
+  ApplyItems(state, {{"cfg/now", "v6", 6, false}}, 0, At(2));
   CHECK(state.routes->version == "v6");
 }
 
 TEST_CASE(
     "A rejected or removed configuration leaves the previous one in force") {
   StoreState state = MakeState();
-  ApplyItems(state, {{"cfg/now", "v5", 5, false}}, At(0));
-  const auto refused = ApplyItems(state, {{"cfg/now", "bad", 6, false}}, At(1));
+  ApplyItems(state, {{"cfg/now", "v5", 5, false}}, 0, At(0));
+  const auto refused =
+      ApplyItems(state, {{"cfg/now", "bad", 6, false}}, 0, At(1));
   CHECK(refused[0].kind == StoreChange::Kind::kConfigRefused);
-  ApplyItems(state, {{"cfg/now", "", 7, true}}, At(2));
+  ApplyItems(state, {{"cfg/now", "", 7, true}}, 0, At(2));
   CHECK(state.routes->version == "v5");
 }
 
 TEST_CASE("A malformed entry removes only its own worker") {
   StoreState state = MakeState();
-  ApplyItems(state, {{"w/a", "s", 1, false}, {"w/b", "s", 2, false}}, At(0));
-  ApplyItems(state, {{"w/b", "bad", 3, false}, {"w/c", "bad", 4, false}},
+  ApplyItems(state, {{"w/a", "s", 1, false}, {"w/b", "s", 2, false}}, 0, At(0));
+  ApplyItems(state, {{"w/b", "bad", 3, false}, {"w/c", "bad", 4, false}}, 0,
              At(10));
   CHECK(state.workers.entries.size() == 1);
   CHECK(state.workers.entries.contains("a"));
@@ -72,13 +80,23 @@
   StoreState state = MakeState();
   const std::vector<schema::KeyValue> items = {{"cfg/now", "v5", 5, false},
                                                {"w/a", "s", 6, false}};
-  ApplyItems(state, items, At(0));
-  const auto again = ApplyItems(state, items, At(2));
+  ApplyItems(state, items, 0, At(0));
+  const auto again = ApplyItems(state, items, 0, At(2));
   CHECK(again[0].kind == StoreChange::Kind::kEntryIgnored);
   CHECK(again[1].kind == StoreChange::Kind::kUnchanged);
-  CHECK(state.routes->revision == 5);
+  CHECK(state.routes->position.revision == 5);
   CHECK(state.workers.entries.contains("a"));
 }
 
+// Guards against the fault of issue 54: the next change has a revision below
+// the highest one that was seen.
+TEST_CASE("The next version after a return is in force at once") {
+  StoreState state = MakeState();
+  ApplyItems(state, {{"cfg/now", "v5", 15, false}}, 1, At(0));
+  ApplyItems(state, {{"cfg/now", "v6", 9, false}}, 2, At(1));
+  CHECK(state.routes->version == "v6");
+  ApplyItems(state, {{"cfg/now", "v5", 16, false}}, 1, At(2));
+}
+
 }  // namespace
 }  // namespace boragepaddle::proxy
--- a/tests/unit/platform_path/worker_choice_test.cc
+++ b/tests/unit/platform_path/worker_choice_test.cc
@@ -105,7 +105,7 @@
   Fleet fleet;
   catalog::WorkerEntry draining = MakeEntry("1", "a");
   draining.draining = true;
-  draining.revision = 9;
+  draining.position.revision = 9;
   catalog::PutWorker(fleet.directory, draining, At(1));
   catalog::WorkerEntry other = MakeEntry("4", "a");
   other.service = "imaging";
--- a/tests/unit/platform_path/worker_index_test.cc
+++ b/tests/unit/platform_path/worker_index_test.cc
@@ -161,7 +161,7 @@
   CHECK(fleet.Choose(1) == "a1");
   catalog::PutWorker(fleet.directory, MakeEntry("a2", "a"), At(1));
   CHECK(fleet.ChooseMany()["a2"] > 1000);
-  catalog::RemoveWorker(fleet.directory, "a1", 9, At(5));
+  catalog::RemoveWorker(fleet.directory, "a1", {0, 9}, At(5));
   CHECK(fleet.ChooseMany()["a2"] == 3000);
 }
 
