Keep what is known of workers that leave or have ended over a return of the store

Callers saw requests at workers that had said they leave: after its return, the store lists such a worker as ready until the worker writes again, and one that has ended until its entry expires.

Cause: the list of workers followed the restored copy at once. A process that leaves does not stop leaving, so its mark now holds for that start of the process. A restored entry of a worker that had ended is used only if the store keeps it for longer than that of an ended worker: an entry whose sequence alone changes is not written, so a live worker may not show in any other way. A later start of a worker is not replaced by a former one. Workers that the copy lacks stay for the time within which they register again, as after an outage.

--- a/src/boragepaddle/catalog/worker_directory.cc
+++ b/src/boragepaddle/catalog/worker_directory.cc
@@ -21,6 +21,35 @@
   }
 }
 
+using Entries = absl::btree_map<std::string, WorkerEntry>;
+
+// An older copy of the source may list the worker again.
+Entries::iterator EraseEntry(WorkerDirectory& directory,
+                             Entries::iterator at,
+                             absl::Time now) {
+  const WorkerEntry& entry = at->second;
+  if (IsLeaving(entry)) {
+    directory.leaving[entry.instance] = {entry.started_ms, now};
+  } else {
+    directory.ended[entry.instance] = {entry.started_ms, now};
+  }
+  return directory.entries.erase(at);
+}
+
+/// Drops marks of workers that are not listed once they are too old.
+template <typename Marks>
+void ExpireMarks(const WorkerDirectory& directory,
+                 Marks& marks,
+                 absl::Time Marks::mapped_type::*time,
+                 absl::Time now) {
+  for (auto mark = marks.begin(); mark != marks.end();) {
+    const bool is_old =
+        !directory.entries.contains(mark->first) &&
+        now - mark->second.*time > directory.settings.leaving_retention;
+    mark = is_old ? marks.erase(mark) : std::next(mark);
+  }
+}
+
 }  // namespace
 
 bool IsLeaving(const WorkerEntry& entry) {
@@ -28,13 +57,40 @@
 }
 
 bool IsUsable(const WorkerEntry& entry) {
-  return !IsLeaving(entry) && !entry.superseded;
+  return !IsLeaving(entry) && !entry.superseded && !entry.unconfirmed;
 }
 
 void OnSourceFailure(WorkerDirectory& directory, absl::Time now) {
   directory.last_source_failure = std::max(directory.last_source_failure, now);
 }
 
+// A process that leaves does not stop leaving, so what is known of it holds
+// over the return.
+void OnSourceRestored(WorkerDirectory& directory, absl::Time now) {
+  OnSourceFailure(directory, now);
+  for (const auto& [instance, entry] : directory.entries) {
+    if (IsLeaving(entry)) {
+      directory.leaving[instance] = {entry.started_ms, now};
+    }
+  }
+}
+
+bool PutRestoredWorker(WorkerDirectory& directory,
+                       WorkerEntry entry,
+                       absl::Time now) {
+  const auto found = directory.entries.find(entry.instance);
+  const bool is_listed = found != directory.entries.end();
+  if (is_listed && found->second.started_ms > entry.started_ms) {
+    return false;
+  }
+  const auto mark = directory.ended.find(entry.instance);
+  entry.unconfirmed = !is_listed && mark != directory.ended.end() &&
+                      entry.started_ms <= mark->second.started_ms;
+  entry.trusted_at = now + directory.settings.entry_lifetime;
+  PutWorker(directory, std::move(entry), now);
+  return true;
+}
+
 void PutWorker(WorkerDirectory& directory, WorkerEntry entry, absl::Time now) {
   const auto found = directory.entries.find(entry.instance);
   if (found != directory.entries.end() &&
@@ -91,27 +147,29 @@
       directory.last_source_failure + directory.settings.reregistration_grace;
   // A leaving worker does not come back.
   if (now >= grace_end || IsLeaving(found->second)) {
-    directory.entries.erase(found);
+    EraseEntry(directory, found, now);
     return;
   }
   found->second.remove_at = std::min(found->second.remove_at, grace_end);
 }
 
 bool ExpireWorkers(WorkerDirectory& directory, absl::Time now) {
-  const size_t before = directory.entries.size();
+  bool changed = false;
   for (auto entry = directory.entries.begin();
        entry != directory.entries.end();) {
-    entry = entry->second.remove_at <= now ? directory.entries.erase(entry)
-                                           : std::next(entry);
-  }
-  for (auto mark = directory.leaving.begin();
-       mark != directory.leaving.end();) {
-    const bool is_old =
-        !directory.entries.contains(mark->first) &&
-        now - mark->second.marked_at > directory.settings.leaving_retention;
-    mark = is_old ? directory.leaving.erase(mark) : std::next(mark);
+    if (entry->second.remove_at <= now) {
+      entry = EraseEntry(directory, entry, now);
+      changed = true;
+      continue;
+    }
+    if (entry->second.unconfirmed && entry->second.trusted_at <= now) {
+      entry->second.unconfirmed = false;
+      changed = true;
+    }
+    ++entry;
   }
-  const bool changed = directory.entries.size() != before;
+  ExpireMarks(directory, directory.leaving, &LeavingMark::marked_at, now);
+  ExpireMarks(directory, directory.ended, &EndedMark::ended_at, now);
   directory.generation += changed ? 1 : 0;
   return changed;
 }
--- a/src/boragepaddle/catalog/worker_directory.h
+++ b/src/boragepaddle/catalog/worker_directory.h
@@ -26,6 +26,10 @@
   bool superseded = false;
   /// The worker itself said that it is leaving.
   bool leaving = false;
+  /// The worker had ended when its entry came back with an older copy of the
+  /// source. It is not used before `trusted_at`.
+  bool unconfirmed = false;
+  absl::Time trusted_at = absl::InfinitePast();
   /// Remaining warm-up time after the start, as of `seen_at`.
   absl::Duration warm_up_remaining;
   /// Start time of the worker, in milliseconds since the Unix epoch.
@@ -45,6 +49,8 @@
   absl::Duration reregistration_grace = absl::Seconds(2);
   /// Time for which it is known that a worker that is not listed was leaving.
   absl::Duration leaving_retention = absl::Minutes(10);
+  /// Time within which the source drops the entry of a worker that has ended.
+  absl::Duration entry_lifetime = absl::Milliseconds(5500);
 };
 
 /// A worker that said that it is leaving.
@@ -54,6 +60,12 @@
   absl::Time marked_at;
 };
 
+/// A worker whose entry was removed.
+struct EndedMark {
+  int64_t started_ms = 0;
+  absl::Time ended_at;
+};
+
 /// Workers by instance id.
 struct WorkerDirectory {
   DirectorySettings settings;
@@ -61,6 +73,8 @@
   /// By instance id. Kept when an entry is removed, as it may be listed again
   /// after an outage.
   absl::btree_map<std::string, LeavingMark> leaving;
+  /// Workers that ended without leaving, by instance id.
+  absl::btree_map<std::string, EndedMark> ended;
   /// Time of the last failed read of the source; removals shortly after it are
   /// provisional.
   absl::Time last_source_failure = absl::InfinitePast();
@@ -74,9 +88,20 @@
 /// Records a failed read of the list's source.
 void OnSourceFailure(WorkerDirectory& directory, absl::Time now);
 
+/// The list's source came back from an older copy. Until the workers register
+/// again, their entries may be missing, and those of workers that leave or have
+/// ended may be as they were before.
+void OnSourceRestored(WorkerDirectory& directory, absl::Time now);
+
 /// Adds or replaces an entry.
 void PutWorker(WorkerDirectory& directory, WorkerEntry entry, absl::Time now);
 
+/// Same for an entry that may stem from the older copy. False if a later start
+/// of the instance is listed, which then stays.
+bool PutRestoredWorker(WorkerDirectory& directory,
+                       WorkerEntry entry,
+                       absl::Time now);
+
 /// The worker said that it is leaving. True if that was unknown. A process that
 /// starts later under the same instance id is not affected. `wall_now` is the
 /// time of day: an unlisted process has started before it.
@@ -98,7 +123,8 @@
                   const base::StorePosition& position,
                   absl::Time now);
 
-/// Removes entries whose grace period has ended. True if any was removed.
+/// Removes entries whose grace period has ended, and trusts restored entries
+/// that the source still has. True if anything changed.
 bool ExpireWorkers(WorkerDirectory& directory, absl::Time now);
 
 /// Returns the newest worker at the address; null if none is listed.
--- a/src/boragepaddle/platform/boot_settings.cc
+++ b/src/boragepaddle/platform/boot_settings.cc
@@ -14,6 +14,9 @@
 
 constexpr double kMebibyte = 1u << 20;
 
+constexpr absl::Duration kReportInterval = absl::Milliseconds(1500);
+constexpr absl::Duration kEntryLifetimeMargin = absl::Seconds(1);
+
 using Values = absl::flat_hash_map<std::string, std::string>;
 
 /// Reads values by key and keeps the first error.
@@ -137,6 +140,9 @@
   node.change_deadline =
       std::min(lookup.Seconds("bounds.config_apply_s", node.change_deadline),
                lookup.Seconds("bounds.drain_s", node.change_deadline));
+  // The store drops an entry after three reports that did not come.
+  node.entry_lifetime =
+      3 * lookup.Seconds("heartbeat_s", kReportInterval) + kEntryLifetimeMargin;
   node.retry_budget_ratio =
       lookup.Number("bounds.retry_budget_ratio", node.retry_budget_ratio);
   node.retry_budget_allowance =
--- a/src/boragepaddle/proxy/node_settings.h
+++ b/src/boragepaddle/proxy/node_settings.h
@@ -36,6 +36,8 @@
   /// workers are listed again within about 2 s; a worker that is gone must not
   /// receive new work for longer.
   absl::Duration lapsed_entry_retention = absl::Milliseconds(1750);
+  /// Time within which the store drops the entry of a worker that has ended.
+  absl::Duration entry_lifetime = absl::Milliseconds(5500);
   /// Time within which a change of the store must be in force on all nodes.
   absl::Duration change_deadline = absl::Seconds(2);
   /// Retry budget over all nodes: in any window of this length, retries are
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -86,6 +86,7 @@
   StoreState store;
   store.dialect = dialect;
   store.workers.settings.reregistration_grace = settings.lapsed_entry_retention;
+  store.workers.settings.entry_lifetime = settings.entry_lifetime;
   return store;
 }
 
--- a/src/boragepaddle/proxy/store_state.cc
+++ b/src/boragepaddle/proxy/store_state.cc
@@ -43,6 +43,7 @@
 
 StoreChange ApplyWorker(StoreState& state,
                         const schema::KeyValue& item,
+                        bool is_restored,
                         absl::Time now) {
   StoreChange change{
       Kind::kWorkerRemoved, item.key, {state.era, item.revision}, ""};
@@ -65,7 +66,13 @@
           "service=", entry.service, " address=", entry.address,
           " draining=", entry.draining, " slots=", entry.slots,
           " cold_s=", absl::ToDoubleSeconds(entry.warm_up_remaining));
-      catalog::PutWorker(state.workers, std::move(entry), now);
+      if (!is_restored) {
+        catalog::PutWorker(state.workers, std::move(entry), now);
+      } else if (!catalog::PutRestoredWorker(state.workers, std::move(entry),
+                                             now)) {
+        change.kind = Kind::kEntryIgnored;
+        change.detail = "a later start of the worker is known";
+      }
       return change;
     }
     change.kind = Kind::kEntryIgnored;
@@ -83,13 +90,17 @@
     const std::vector<schema::KeyValue>& changes,
     uint64_t era,
     absl::Time now) {
+  const bool is_restored = era > state.era && state.routes != nullptr;
+  if (is_restored) {
+    catalog::OnSourceRestored(state.workers, now);
+  }
   state.era = era;
   std::vector<StoreChange> applied;
   for (const schema::KeyValue& item : changes) {
     if (item.key == state.dialect.config_key) {
       applied.push_back(ApplyConfig(state, item));
     } else if (absl::StartsWith(item.key, state.dialect.worker_prefix)) {
-      applied.push_back(ApplyWorker(state, item, now));
+      applied.push_back(ApplyWorker(state, item, is_restored, now));
     }
   }
   return applied;
--- a/src/boragepaddle/proxy/store_state.h
+++ b/src/boragepaddle/proxy/store_state.h
@@ -42,7 +42,8 @@
 };
 
 /// Applies the changes of one update of the copy, in order. Within an era, an
-/// older configuration never replaces a newer one.
+/// older configuration never replaces a newer one. The first update of a newer
+/// era undoes nothing that is known of workers that leave or have ended.
 std::vector<StoreChange> ApplyItems(
     StoreState& state,
     const std::vector<schema::KeyValue>& changes,
--- a/tests/unit/platform_path/documents_test.cc
+++ b/tests/unit/platform_path/documents_test.cc
@@ -33,7 +33,7 @@
     "listen_addrs.outbound=10.1.0.8:8304\nlisten_addrs.ready=10.1.0.8:8302\n"
     "app_addr=10.1.0.8:8301\nplatform.address=10.200.1.7:8309\n"
     "internal_port_range=7620,7635\nlimits.memory_mb=260\n"
-    "limits.max_fds=4100\nsomething.new=1\n"
+    "limits.max_fds=4100\nsomething.new=1\nheartbeat_s=2\n"
     "bounds=grace_s=6,retry_budget_ratio=0.2,budget_window_s=10,"
     "budget_slack=47,config_apply_s=2.5,drain_s=3\n";
 
@@ -211,6 +211,7 @@
   // The shorter of the two bounds on a change.
   CHECK(settings.value().node.change_deadline == absl::Seconds(2.5));
   CHECK(settings.value().node.memory_bytes == 260u << 20);
+  CHECK(settings.value().node.entry_lifetime == absl::Seconds(7));
   CHECK(settings.value().defaulted.empty());
 }
 
--- a/tests/unit/platform_path/store_state_test.cc
+++ b/tests/unit/platform_path/store_state_test.cc
@@ -98,5 +98,65 @@
   ApplyItems(state, {{"cfg/now", "v5", 16, false}}, 1, At(2));
 }
 
+// Guards against work for a worker whose report that it leaves was lost.
+TEST_CASE("A worker that leaves stays unused over a return of the store") {
+  StoreState state = MakeState();
+  ApplyItems(state,
+             {{"cfg/now", "v5", 5, false},
+              {"w/a", "s", 6, false},
+              {"w/b", "s", 7, false}},
+             1, At(0));
+  ApplyItems(state, {{"w/a", "s/draining", 8, false}}, 1, At(1));
+  ApplyItems(state, {{"w/b", "s/draining", 9, false}}, 1, At(2));
+  ApplyItems(state, {{"w/b", "", 10, true}}, 1, At(3));
+  ApplyItems(state, {{"w/a", "s", 6, false}, {"w/b", "s", 7, false}}, 2, At(4));
+  CHECK_FALSE(catalog::IsUsable(state.workers.entries.at("a")));
+  CHECK_FALSE(catalog::IsUsable(state.workers.entries.at("b")));
+  catalog::ExpireWorkers(state.workers, At(60));
+  CHECK_FALSE(catalog::IsUsable(state.workers.entries.at("a")));
+  CHECK_FALSE(catalog::IsUsable(state.workers.entries.at("b")));
+  // Another process with the same instance id.
+  ApplyItems(state, {{"w/a", "s@1", 11, false}}, 2, At(61));
+  CHECK(catalog::IsUsable(state.workers.entries.at("a")));
+}
+
+// Guards against the entry of a worker that has ended, and against losing one
+// for good whose entry had only lapsed.
+TEST_CASE("A restored entry of an ended worker is used once it outlives one") {
+  StoreState state = MakeState();
+  ApplyItems(state, {{"cfg/now", "v5", 5, false}, {"w/a", "s", 6, false}}, 1,
+             At(0));
+  ApplyItems(state, {{"w/a", "", 9, true}}, 1, At(10));
+  CHECK(state.workers.entries.empty());
+  ApplyItems(state, {{"w/a", "s", 6, false}}, 2, At(11));
+  CHECK_FALSE(catalog::IsUsable(state.workers.entries.at("a")));
+  catalog::ExpireWorkers(state.workers, At(16));
+  CHECK_FALSE(catalog::IsUsable(state.workers.entries.at("a")));
+  catalog::ExpireWorkers(state.workers, At(17));
+  CHECK(catalog::IsUsable(state.workers.entries.at("a")));
+}
+
+// Guards against a service without workers until they register again.
+TEST_CASE("A worker that the copy lacks is kept until it registers again") {
+  StoreState state = MakeState();
+  ApplyItems(state, {{"cfg/now", "v5", 5, false}, {"w/a", "s", 12, false}}, 1,
+             At(0));
+  ApplyItems(state, {{"w/a", "", 9, true}}, 2, At(10));
+  CHECK(catalog::IsUsable(state.workers.entries.at("a")));
+  ApplyItems(state, {{"w/a", "s", 10, false}}, 2, At(11));
+  catalog::ExpireWorkers(state.workers, At(20));
+  CHECK(catalog::IsUsable(state.workers.entries.at("a")));
+}
+
+TEST_CASE("A restored entry does not replace a later start of the worker") {
+  StoreState state = MakeState();
+  ApplyItems(state, {{"cfg/now", "v5", 5, false}, {"w/a", "s@2", 12, false}}, 1,
+             At(0));
+  ApplyItems(state, {{"w/a", "s/draining@1", 6, false}}, 2, At(1));
+  CHECK(catalog::IsUsable(state.workers.entries.at("a")));
+  ApplyItems(state, {{"w/a", "s@2", 9, false}}, 2, At(2));
+  CHECK(state.workers.entries.at("a").position == base::StorePosition{2, 9});
+}
+
 }  // namespace
 }  // namespace boragepaddle::proxy
