Keep a version of the configuration in force that the store has lost

Callers saw requests handled as only an older version allows: after its return the store has an older configuration, until the operator writes the lost version again. Keys that the lost version had taken away were accepted again.

Cause: the configuration of the newer era replaced the one in force whatever its version. Operators' versions increase, independently of the store's revisions and eras. Over a return, a lower version than the one in force now stays out, also while lost versions are written again one after the other. If nobody writes the lost version again, the store's comes into force 10 s after its last write, so an operator that numbers anew waits that long, not for ever.

--- a/src/boragepaddle/catalog/route_catalog.h
+++ b/src/boragepaddle/catalog/route_catalog.h
@@ -37,6 +37,9 @@
   base::StorePosition position;
   /// Version name given by the operators.
   std::string version;
+  /// Orders the versions of the operators, also over eras of the store; 0 if
+  /// the name has no order.
+  uint64_t version_order = 0;
   std::vector<Route> routes;
   std::vector<ServiceEntry> services;
   ClientLimits limits;
--- a/src/boragepaddle/platform/documents.cc
+++ b/src/boragepaddle/platform/documents.cc
@@ -6,6 +6,7 @@
 
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
 #include "boragepaddle/event/socket_options.h"
@@ -257,6 +258,10 @@
   Reader reader;
   catalog::RouteCatalog catalog;
   catalog.version = reader.Text(parsed, "version");
+  // Versions are hexadecimal numbers that increase.
+  if (!absl::SimpleHexAtoi(catalog.version, &catalog.version_order)) {
+    catalog.version_order = 0;
+  }
   for (const Json& row : ReadTable(reader, parsed, "routes")) {
     catalog.routes.push_back(ReadRoute(reader, row));
   }
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -58,6 +58,8 @@
       return "config_accepted";
     case StoreChange::Kind::kConfigRefused:
       return "config_refused";
+    case StoreChange::Kind::kConfigRetained:
+      return "config_retained";
     case StoreChange::Kind::kWorkerListed:
       return "worker_listed";
     case StoreChange::Kind::kWorkerRemoved:
@@ -347,6 +349,8 @@
       this->store.routes == nullptr
           ? 0
           : static_cast<double>(this->store.routes->position.era));
+  this->metrics.SetGauge("config_lost_by_store",
+                         this->store.older_config ? 1 : 0);
   this->metrics.SetGauge(
       "feed_revision",
       static_cast<double>(this->replicator.position().revision));
@@ -426,6 +430,7 @@
     if (catalog::ExpireWorkers(this->store.workers, now)) {
       this->OnStateChanged();
     }
+    this->ReportChanges(ExpireLostConfig(this->store, now));
     if (this->IsReady() != this->was_ready) {
       this->was_ready = !this->was_ready;
       this->log.LogState(
--- a/src/boragepaddle/proxy/store_state.cc
+++ b/src/boragepaddle/proxy/store_state.cc
@@ -11,7 +11,36 @@
 
 using Kind = StoreChange::Kind;
 
-StoreChange ApplyConfig(StoreState& state, const schema::KeyValue& item) {
+/// Time for which a lost version stays in force although the store has an older
+/// one. Operators write lost versions again; the time covers a repetition of
+/// many writes.
+constexpr absl::Duration kLostConfigRetention = absl::Seconds(10);
+
+/// True if the store lost the version in force and has only an older one.
+bool IsOlderVersion(const StoreState& state,
+                    const catalog::RouteCatalog& offered) {
+  return state.routes != nullptr && state.routes->position.era < state.era &&
+         state.routes->version_order != 0 && offered.version_order != 0 &&
+         offered.version_order < state.routes->version_order;
+}
+
+void PutInForce(StoreState& state,
+                catalog::RouteCatalog routes,
+                const schema::KeyValue& item,
+                StoreChange& change) {
+  change.kind = Kind::kConfigAccepted;
+  change.detail = absl::StrCat("version=", routes.version,
+                               " routes=", routes.routes.size());
+  routes.position = change.position;
+  state.routes =
+      std::make_shared<const catalog::RouteCatalog>(std::move(routes));
+  state.routes_item = item;
+  state.older_config.reset();
+}
+
+StoreChange ApplyConfig(StoreState& state,
+                        const schema::KeyValue& item,
+                        absl::Time now) {
   StoreChange change{
       Kind::kConfigRefused, item.key, {state.era, item.revision}, ""};
   if (item.removed) {
@@ -31,13 +60,15 @@
     change.detail = decoded.error().detail;
     return change;
   }
-  auto routes =
-      std::make_shared<catalog::RouteCatalog>(std::move(decoded.value()));
-  routes->position = change.position;
-  change.kind = Kind::kConfigAccepted;
-  change.detail = absl::StrCat("version=", routes->version,
-                               " routes=", routes->routes.size());
-  state.routes = std::move(routes);
+  if (IsOlderVersion(state, decoded.value())) {
+    change.kind = Kind::kConfigRetained;
+    change.detail = absl::StrCat("version=", state.routes->version,
+                                 " lost_in_era=", state.era,
+                                 " store_version=", decoded.value().version);
+    state.older_config = OlderConfig{item, change.position, now};
+    return change;
+  }
+  PutInForce(state, std::move(decoded.value()), item, change);
   return change;
 }
 
@@ -98,7 +129,7 @@
   std::vector<StoreChange> applied;
   for (const schema::KeyValue& item : changes) {
     if (item.key == state.dialect.config_key) {
-      applied.push_back(ApplyConfig(state, item));
+      applied.push_back(ApplyConfig(state, item, now));
     } else if (absl::StartsWith(item.key, state.dialect.worker_prefix)) {
       applied.push_back(ApplyWorker(state, item, is_restored, now));
     }
@@ -106,4 +137,19 @@
   return applied;
 }
 
+std::vector<StoreChange> ExpireLostConfig(StoreState& state, absl::Time now) {
+  if (!state.older_config ||
+      now - state.older_config->seen_at < kLostConfigRetention) {
+    return {};
+  }
+  const OlderConfig older = std::move(*state.older_config);
+  state.older_config.reset();
+  StoreChange change{Kind::kConfigRefused, older.item.key, older.position, ""};
+  auto decoded = state.dialect.decode_catalog(older.item.value);
+  if (decoded) {
+    PutInForce(state, std::move(decoded.value()), older.item, change);
+  }
+  return {std::move(change)};
+}
+
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/store_state.h
+++ b/src/boragepaddle/proxy/store_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "boragepaddle/base/store_position.h"
 #include "boragepaddle/catalog/route_catalog.h"
 #include "boragepaddle/catalog/worker_directory.h"
@@ -20,6 +21,8 @@
   enum class Kind : uint8_t {
     kConfigAccepted,
     kConfigRefused,
+    /// A newer version, which the store has lost, stays in force.
+    kConfigRetained,
     kWorkerListed,
     kWorkerRemoved,
     kEntryIgnored,
@@ -31,6 +34,14 @@
   std::string detail;
 };
 
+/// The store's configuration, while a newer version that the store has lost is
+/// in force.
+struct OlderConfig {
+  schema::KeyValue item;
+  base::StorePosition position;
+  absl::Time seen_at;
+};
+
 /// Decoded content of the store: the routes in force and the workers.
 struct StoreState {
   StoreDialect dialect;
@@ -38,18 +49,26 @@
   uint64_t era = 0;
   /// Null before the first configuration.
   std::shared_ptr<const catalog::RouteCatalog> routes;
+  /// The item that the routes were decoded from.
+  schema::KeyValue routes_item;
+  absl::optional<OlderConfig> older_config;
   catalog::WorkerDirectory workers;
 };
 
 /// Applies the changes of one update of the copy, in order. Within an era, an
-/// older configuration never replaces a newer one. The first update of a newer
-/// era undoes nothing that is known of workers that leave or have ended.
+/// older configuration never replaces a newer one. After a return of the store
+/// the version decides, until the store has the version in force or a later
+/// one.
 std::vector<StoreChange> ApplyItems(
     StoreState& state,
     const std::vector<schema::KeyValue>& changes,
     uint64_t era,
     absl::Time now);
 
+/// Puts the store's configuration in force that has been older than the one in
+/// force for too long: nobody writes the lost version again.
+std::vector<StoreChange> ExpireLostConfig(StoreState& state, absl::Time now);
+
 }  // namespace boragepaddle::proxy
 
 #endif  // BORAGEPADDLE_PROXY_STORE_STATE_H_
--- a/tests/unit/platform_path/documents_test.cc
+++ b/tests/unit/platform_path/documents_test.cc
@@ -40,6 +40,7 @@
 TEST_CASE("A configuration is decoded into routes") {
   const auto catalog = DecodeCatalog(kConfig);
   REQUIRE(catalog);
+  CHECK(catalog.value().version_order == 12);
   REQUIRE(catalog.value().routes.size() == 2);
   const catalog::Route& split = catalog.value().routes[0];
   CHECK(split.idempotent);
--- a/tests/unit/platform_path/store_state_test.cc
+++ b/tests/unit/platform_path/store_state_test.cc
@@ -26,6 +26,8 @@
     }
     catalog::RouteCatalog catalog;
     catalog.version = std::string(document);
+    // `vN` is version N.
+    catalog.version_order = static_cast<uint64_t>(document[1] - '0');
     return catalog;
   };
   state.dialect.decode_worker = [](absl::string_view key,
@@ -88,6 +90,27 @@
   CHECK(state.workers.entries.contains("a"));
 }
 
+// Guards against requests that are handled as only an older version allows,
+// while the operator has not yet written again what the store lost.
+TEST_CASE(
+    "A lost version stays in force until the store has it or a later one") {
+  StoreState state = MakeState();
+  ApplyItems(state, {{"cfg/now", "v5", 15, false}}, 1, At(0));
+  const auto retained =
+      ApplyItems(state, {{"cfg/now", "v3", 9, false}}, 2, At(1));
+  CHECK(retained[0].kind == StoreChange::Kind::kConfigRetained);
+  CHECK(state.routes->version == "v5");
+  // The operator writes what was lost again, one version after the other.
+  ApplyItems(state, {{"cfg/now", "v4", 10, false}}, 2, At(2));
+  CHECK(state.routes->version == "v5");
+  CHECK(state.older_config);
+  ApplyItems(state, {{"cfg/now", "v5", 11, false}}, 2, At(3));
+  CHECK(state.routes->position == base::StorePosition{2, 11});
+  CHECK_FALSE(state.older_config);
+  ApplyItems(state, {{"cfg/now", "v6", 12, false}}, 2, At(4));
+  CHECK(state.routes->version == "v6");
+}
+
 // Guards against the fault of issue 54: the next change has a revision below
 // the highest one that was seen.
 TEST_CASE("The next version after a return is in force at once") {
@@ -98,6 +121,17 @@
   ApplyItems(state, {{"cfg/now", "v5", 16, false}}, 1, At(2));
 }
 
+// Guards against a version that stays for ever if nobody writes it again.
+TEST_CASE("A lost version that nobody writes again ends") {
+  StoreState state = MakeState();
+  ApplyItems(state, {{"cfg/now", "v5", 15, false}}, 1, At(0));
+  ApplyItems(state, {{"cfg/now", "v3", 9, false}}, 2, At(1));
+  CHECK(ExpireLostConfig(state, At(9)).empty());
+  CHECK(ExpireLostConfig(state, At(12)).size() == 1);
+  CHECK(state.routes->version == "v3");
+  CHECK(state.routes->position == base::StorePosition{2, 9});
+}
+
 // Guards against work for a worker whose report that it leaves was lost.
 TEST_CASE("A worker that leaves stays unused over a return of the store") {
   StoreState state = MakeState();
