Hand a lost version of the configuration to processes that start after a return

Callers saw a node that was restarted handle requests as only an older version allows, and accept keys that had been taken away, while all others kept the version that the store had lost.

Cause: a new process knows only what the store and the copies of its peers have, and neither has the lost version. FeedNotice gets a trailing field with the items in force that the store has lost. It is filled for a new subscriber, and for recent subscribers when a node notices the return after them.

--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -251,6 +251,10 @@
                              uint64_t era) {
     this->ReportChanges(ApplyItems(this->store, items, era, event::BootNow()));
   };
+  events.lost_items = [this] { return LostItems(this->store); };
+  events.on_lost_items = [this](const std::vector<schema::KeyValue>& items) {
+    this->ReportChanges(ApplyLostItems(this->store, items, event::BootNow()));
+  };
   events.on_outage = [this](absl::Time at) {
     catalog::OnSourceFailure(this->store.workers, at);
   };
--- a/src/boragepaddle/proxy/store_replicator.cc
+++ b/src/boragepaddle/proxy/store_replicator.cc
@@ -25,6 +25,11 @@
 /// confirmed.
 constexpr absl::Duration kUnconfirmedReadyDelay = absl::Seconds(2);
 
+/// A subscriber that has been one for longer knew the store before its return.
+/// A process that started after the return may subscribe to nodes that have not
+/// noticed it yet.
+constexpr absl::Duration kNewSubscriberTime = absl::Seconds(3);
+
 constexpr int64_t kMicrosecondsPerMillisecond = 1000;
 
 /// Limit on subscribers; the distribution tree needs a fraction of it.
@@ -160,6 +165,9 @@
   if (changes_era || !result.changes.empty()) {
     this->events.on_changes(result.changes, this->replica.position.era);
     this->NotifySubscribers(now);
+    if (changes_era) {
+      this->SendLostItems(now);
+    }
   }
   return result.error;
 }
@@ -299,9 +307,9 @@
 void StoreReplicator::NotifySubscribers(absl::Time now) {
   this->LogCurrency(now);
   feed::OnNoticeSent(this->feed_state, now);
-  const schema::FeedNotice notice{this->CurrentStamp(now)};
-  for (const auto& [number, channel] : this->subscriber_channels) {
-    channel->Send(notice);
+  const schema::FeedNotice notice{this->CurrentStamp(now), {}};
+  for (const auto& [number, subscriber] : this->subscriber_channels) {
+    subscriber.channel->Send(notice);
   }
   for (const std::string& address : feed::StaleSources(this->feed_state, now)) {
     const auto found = this->source_channels.find(address);
@@ -311,6 +319,19 @@
   }
 }
 
+void StoreReplicator::SendLostItems(absl::Time now) {
+  const schema::FeedNotice notice{this->CurrentStamp(now),
+                                  this->events.lost_items()};
+  if (notice.lost_items.empty()) {
+    return;
+  }
+  for (const auto& [number, subscriber] : this->subscriber_channels) {
+    if (now - subscriber.since < kNewSubscriberTime) {
+      subscriber.channel->Send(notice);
+    }
+  }
+}
+
 bool StoreReplicator::OnMessage(const PeerChannelPtr& channel,
                                 const schema::Message& message) {
   const absl::Time now = event::BootNow();
@@ -318,8 +339,9 @@
     if (!subscribe->active) {
       this->subscriber_channels.erase(channel->number);
     } else if (this->subscriber_channels.size() < kMaxSubscribers) {
-      this->subscriber_channels[channel->number] = channel;
-      channel->Send(schema::FeedNotice{this->CurrentStamp(now)});
+      this->subscriber_channels[channel->number] = {channel, now};
+      channel->Send(schema::FeedNotice{this->CurrentStamp(now),
+                                       this->events.lost_items()});
     }
     return true;
   }
@@ -328,6 +350,9 @@
                       this->WithEra(notice->stamp), now)) {
       this->Subscribe(channel->host);
     }
+    if (!notice->lost_items.empty()) {
+      this->events.on_lost_items(notice->lost_items);
+    }
     this->ReportOutage(now);
     this->Fetch(now);
     this->NotifyIfDue(now);
--- a/src/boragepaddle/proxy/store_replicator.h
+++ b/src/boragepaddle/proxy/store_replicator.h
@@ -28,6 +28,11 @@
   /// Changes of the copy, which is now in the given era of the store.
   std::function<void(const std::vector<schema::KeyValue>&, uint64_t era)>
       on_changes;
+  /// Items in force at this node that the store lost when it came back from an
+  /// older copy.
+  std::function<std::vector<schema::KeyValue>()> lost_items;
+  /// Another node has such items in force.
+  std::function<void(const std::vector<schema::KeyValue>&)> on_lost_items;
   /// The store failed at the given time.
   std::function<void(absl::Time)> on_outage;
 };
@@ -72,6 +77,11 @@
   const feed::FeedState& state() const { return this->feed_state; }
 
  private:
+  struct Subscriber {
+    event::PeerChannelPtr channel;
+    absl::Time since;
+  };
+
   event::PrefixWatcherEvents MakeWatchEvents();
   /// Reads the store once to learn the hosts.
   void DiscoverHosts(absl::Time now);
@@ -88,7 +98,10 @@
   void ReportOutage(absl::Time now);
   /// Sends a notice to all subscribers and to sources with a stale copy.
   void NotifySubscribers(absl::Time now);
-  /// Same, if the last notice no longer tells how current the copy is.
+  /// Sends what the store has lost to subscribers that are new.
+  void SendLostItems(absl::Time now);
+  /// Same as NotifySubscribers, if the last notice no longer tells how current
+  /// the copy is.
   void NotifyIfDue(absl::Time now);
   /// Logs if the copy became stale or current since the last notice.
   void LogCurrency(absl::Time now);
@@ -112,8 +125,8 @@
   uint64_t read_answers = 0;
   /// Channels to the sources by address.
   absl::flat_hash_map<std::string, event::PeerChannelPtr> source_channels;
-  /// Channels of the subscribers by channel number.
-  absl::flat_hash_map<uint64_t, event::PeerChannelPtr> subscriber_channels;
+  /// Subscribers by channel number.
+  absl::flat_hash_map<uint64_t, Subscriber> subscriber_channels;
 };
 
 }  // namespace boragepaddle::proxy
--- a/src/boragepaddle/proxy/store_state.cc
+++ b/src/boragepaddle/proxy/store_state.cc
@@ -137,6 +137,37 @@
   return applied;
 }
 
+std::vector<schema::KeyValue> LostItems(const StoreState& state) {
+  return state.older_config ? std::vector<schema::KeyValue>{state.routes_item}
+                            : std::vector<schema::KeyValue>();
+}
+
+std::vector<StoreChange> ApplyLostItems(
+    StoreState& state,
+    const std::vector<schema::KeyValue>& items,
+    absl::Time now) {
+  std::vector<StoreChange> applied;
+  for (const schema::KeyValue& item : items) {
+    // In no era of its own, so that the version decides about each
+    // configuration of the store.
+    StoreChange change{Kind::kEntryIgnored, item.key, {0, item.revision}, ""};
+    auto decoded = state.dialect.decode_catalog(item.value);
+    if (item.key != state.dialect.config_key || !decoded ||
+        state.routes == nullptr || decoded.value().version_order == 0 ||
+        decoded.value().version_order <= state.routes->version_order) {
+      change.detail = "lost by the store; no newer configuration";
+      applied.push_back(std::move(change));
+      continue;
+    }
+    const OlderConfig older{state.routes_item, state.routes->position, now};
+    PutInForce(state, std::move(decoded.value()), item, change);
+    state.older_config = older;
+    change.detail += " lost by the store";
+    applied.push_back(std::move(change));
+  }
+  return applied;
+}
+
 std::vector<StoreChange> ExpireLostConfig(StoreState& state, absl::Time now) {
   if (!state.older_config ||
       now - state.older_config->seen_at < kLostConfigRetention) {
--- a/src/boragepaddle/proxy/store_state.h
+++ b/src/boragepaddle/proxy/store_state.h
@@ -65,6 +65,16 @@
     uint64_t era,
     absl::Time now);
 
+/// Items in force that the store has lost.
+std::vector<schema::KeyValue> LostItems(const StoreState& state);
+
+/// Applies the lost items of another node: a later version of the configuration
+/// than this node has comes into force.
+std::vector<StoreChange> ApplyLostItems(
+    StoreState& state,
+    const std::vector<schema::KeyValue>& items,
+    absl::Time now);
+
 /// Puts the store's configuration in force that has been older than the one in
 /// force for too long: nobody writes the lost version again.
 std::vector<StoreChange> ExpireLostConfig(StoreState& state, absl::Time now);
--- a/src/boragepaddle/schema/messages.cc
+++ b/src/boragepaddle/schema/messages.cc
@@ -531,7 +531,7 @@
 }
 
 bool operator==(const FeedNotice& a, const FeedNotice& b) {
-  return a.stamp == b.stamp;
+  return a.stamp == b.stamp && a.lost_items == b.lost_items;
 }
 
 bool operator!=(const FeedNotice& a, const FeedNotice& b) {
@@ -1341,13 +1341,15 @@
 }
 
 void Pack(Packer& packer, const FeedNotice& value) {
-  packer.pack_array(1);
+  packer.pack_array(2);
   Pack(packer, value.stamp);
+  Pack(packer, value.lost_items);
 }
 
 bool Unpack(const msgpack::object& object, FeedNotice* value) {
   ArrayReader reader(object);
   reader.Next(&value->stamp);
+  reader.Next(&value->lost_items);
   return reader.ok();
 }
 
--- a/src/boragepaddle/schema/messages.h
+++ b/src/boragepaddle/schema/messages.h
@@ -718,6 +718,9 @@
 /// State of the sender's replica; sent after each change and periodically.
 struct FeedNotice {
   FeedStamp stamp;
+  /// Items in force at the sender that the store has lost; sent to a new
+  /// subscriber only.
+  std::vector<KeyValue> lost_items;
 };
 /// Compares all fields.
 bool operator==(const FeedNotice& a, const FeedNotice& b);
--- a/tests/unit/feed/feed_simulation.cc
+++ b/tests/unit/feed/feed_simulation.cc
@@ -207,7 +207,7 @@
   SimulatedNode& sender = this->nodes[from];
   const schema::FeedStamp stamp = this->StampOf(sender);
   sender.sent_bytes +=
-      schema::Encode(schema::Message(schema::FeedNotice{stamp})).size() +
+      schema::Encode(schema::Message(schema::FeedNotice{stamp, {}})).size() +
       kFrameOverhead;
   this->Schedule(to, [this, from, to, stamp] {
     SimulatedNode& receiver = this->nodes[to];
--- a/tests/unit/messages_test.cc
+++ b/tests/unit/messages_test.cc
@@ -45,15 +45,15 @@
 // against reading theirs: fields are only added at the end.
 TEST_CASE("messages: the era of replication frames is a trailing field") {
   const FeedStamp stamp{6, 9, 3, -1, "h", 2};
-  // [38, [[revision, digest, age, outage age, origin, era]]]
-  CHECK(Encode(FeedNotice{stamp}) ==
-        Bytes({0x92, 38, 0x91, 0x96, 6, 9, 3, 0xff, 0xc4, 1, 'h', 2}));
+  // [38, [[revision, digest, age, outage age, origin, era], lost items]]
+  CHECK(Encode(FeedNotice{stamp, {}}) ==
+        Bytes({0x92, 38, 0x92, 0x96, 6, 9, 3, 0xff, 0xc4, 1, 'h', 2, 0x90}));
   CHECK(Encode(FeedFetch{6, false, 2}) == Bytes({0x92, 39, 0x93, 6, 0xc2, 2}));
   const auto notice =
       Decode(Bytes({0x92, 38, 0x91, 0x95, 6, 9, 3, 0xff, 0xc4, 1, 'h'}));
   REQUIRE(notice);
   CHECK(std::get<FeedNotice>(notice.value()) ==
-        FeedNotice{{6, 9, 3, -1, "h", 0}});
+        FeedNotice{{6, 9, 3, -1, "h", 0}, {}});
   const auto fetch = Decode(Bytes({0x92, 39, 0x92, 6, 0xc2}));
   REQUIRE(fetch);
   CHECK(std::get<FeedFetch>(fetch.value()) == FeedFetch{6, false, 0});
--- a/tests/unit/platform_path/store_state_test.cc
+++ b/tests/unit/platform_path/store_state_test.cc
@@ -103,10 +103,10 @@
   // The operator writes what was lost again, one version after the other.
   ApplyItems(state, {{"cfg/now", "v4", 10, false}}, 2, At(2));
   CHECK(state.routes->version == "v5");
-  CHECK(state.older_config);
+  CHECK_FALSE(LostItems(state).empty());
   ApplyItems(state, {{"cfg/now", "v5", 11, false}}, 2, At(3));
   CHECK(state.routes->position == base::StorePosition{2, 11});
-  CHECK_FALSE(state.older_config);
+  CHECK(LostItems(state).empty());
   ApplyItems(state, {{"cfg/now", "v6", 12, false}}, 2, At(4));
   CHECK(state.routes->version == "v6");
 }
@@ -132,6 +132,19 @@
   CHECK(state.routes->position == base::StorePosition{2, 9});
 }
 
+TEST_CASE("A new process takes a lost version from another node") {
+  StoreState state = MakeState();
+  ApplyItems(state, {{"cfg/now", "v3", 9, false}}, 2, At(0));
+  ApplyLostItems(state, {{"cfg/now", "v5", 15, false}}, At(1));
+  CHECK(state.routes->version == "v5");
+  ApplyLostItems(state, {{"cfg/now", "v4", 14, false}}, At(1));
+  CHECK(state.routes->version == "v5");
+  ApplyItems(state, {{"cfg/now", "v5", 10, false}}, 2, At(2));
+  CHECK(state.routes->position == base::StorePosition{2, 10});
+  ApplyItems(state, {{"cfg/now", "v6", 11, false}}, 2, At(3));
+  CHECK(state.routes->version == "v6");
+}
+
 // Guards against work for a worker whose report that it leaves was lost.
 TEST_CASE("A worker that leaves stays unused over a return of the store") {
   StoreState state = MakeState();
