Pause between lists while no watch of the store is answered

The store saw thousands of calls a second: a watch that gets 410 was followed by a list at once, and the list by a watch.

The first list after a 410, or after an answer of a newer era, still comes at once.

Unit test 'Lists follow each other at growing intervals while no watch is answered' failed before. 34 unit tests of lists and watches pass.

--- a/src/boragepaddle/event/prefix_watcher.cc
+++ b/src/boragepaddle/event/prefix_watcher.cc
@@ -52,6 +52,7 @@
   this->Stop();
   this->mode = next;
   this->failures = 0;
+  this->relists = 0;
   this->unconfirmed = true;
   this->Run();
 }
@@ -140,7 +141,11 @@
 
 void PrefixWatcher::Relist() {
   this->must_list = true;
-  this->Run();
+  if (this->relists++ == 0) {
+    this->Run();
+    return;
+  }
+  this->RunAfter(this->Backoff(this->relists - 2), &PrefixWatcher::Run);
 }
 
 void PrefixWatcher::WatchNext() {
@@ -186,6 +191,7 @@
     this->WatchNext();
     return;
   }
+  this->relists = 0;
   feed::ReplicaUpdate changes;
   changes.from = from;
   changes.to = {page.era, std::max(from.revision, page.as_of)};
@@ -230,13 +236,15 @@
     this->Relist();
     return;
   }
-  const uint32_t doublings = std::min(this->failures, kMaxDoublings);
+  this->RunAfter(this->Backoff(this->failures), &PrefixWatcher::Run);
   ++this->failures;
-  const absl::Duration pause =
-      std::min(this->settings.max_backoff,
-               this->settings.initial_backoff * (1u << doublings));
-  this->RunAfter(pause, &PrefixWatcher::Run);
   this->events.on_failure(error);
 }
 
+absl::Duration PrefixWatcher::Backoff(uint32_t attempts) const {
+  return std::min(this->settings.max_backoff,
+                  this->settings.initial_backoff *
+                      (1u << std::min(attempts, kMaxDoublings)));
+}
+
 }  // namespace boragepaddle::event
--- a/src/boragepaddle/event/prefix_watcher.h
+++ b/src/boragepaddle/event/prefix_watcher.h
@@ -83,12 +83,14 @@
   void OnPage(SourcePage page);
   void FinishList();
   /// Lists again, since the changes after the known position are not available.
+  /// The first time at once, then after a pause until a watch is answered.
   void Relist();
   void WatchNext();
   /// Calls `next` after the pause unless the watcher restarts or stops first.
   void RunAfter(absl::Duration pause, void (PrefixWatcher::*next)());
   void OnWatched(const base::StorePosition& from, SourcePage page);
   void OnFailure(const SourceError& error);
+  absl::Duration Backoff(uint32_t attempts) const;
   void OnSuccess();
 
   KeyValueSource& source;
@@ -104,6 +106,8 @@
   /// source is reachable.
   bool unconfirmed = true;
   uint32_t failures = 0;
+  /// Lists that were not followed by the answer of a watch.
+  uint32_t relists = 0;
   /// Time that the last empty answer took beyond the wait.
   absl::Duration latency;
   /// Incremented by each restart and stop, so that callbacks of earlier calls
--- a/tests/unit/platform_path/source_watch_test.cc
+++ b/tests/unit/platform_path/source_watch_test.cc
@@ -222,6 +222,26 @@
   CHECK_FALSE(harness.replica.items.contains("w/a"));
 }
 
+// Guards against thousands of calls a second to a source that cannot answer any
+// watch, as when it drops its history all the time.
+TEST_CASE(
+    "Lists follow each other at growing intervals while no watch is answered") {
+  Harness harness;
+  constexpr int kLists = 6;
+  for (int round = 0; round < kLists; ++round) {
+    harness.source.answers.push_back(SourcePage{{}, 10, false});
+    harness.source.answers.push_back(
+        SourceError{SourceErrorCode::kCompacted, 410});
+  }
+  const auto start = std::chrono::steady_clock::now();
+  harness.Run();
+  // The first list after a compaction comes at once. The script's backoff
+  // starts at 1 ms and doubles: 1 + 2 + 4 + 8 + 16 ms.
+  CHECK(std::chrono::steady_clock::now() - start >=
+        std::chrono::milliseconds(31));
+  CHECK(harness.whole_pages == kLists);
+}
+
 // Guards against a late answer of the store before its return, and an address
 // that still answers in the era before or names none.
 TEST_CASE("An answer in an older era is a failure and changes nothing") {
