Keep an unknown era of the store apart from all known ones

An era of 0 stood for the first era of a store, for a node of the release before, and for a copy that names none. Trials on: with a store whose first era is 0, the next change after a return was not in force on any of 4 nodes after 5 s; in a rolling release without any return, a node with a copy from the release before fetched changes without a pause (114,526 updates that were not used in 10 s); and a process that started after a return took the lost state from such a node and spread it. A cheap read of before the return, answered under the new era, did the same.

Eras are counted from 1; 0 is unknown and older than any. Nothing of an unknown era is taken for the own one any more. Only a return, not the first copy of a process, saves a reader its list.

--- a/src/boragepaddle/base/store_position.h
+++ b/src/boragepaddle/base/store_position.h
@@ -10,7 +10,7 @@
 /// copy; its era then rises, and its revisions go back and are given out again.
 /// Revisions of different eras are therefore not comparable by themselves.
 struct StorePosition {
-  /// 0 if the store names no eras.
+  /// Counted from 1; 0 if unknown, which is older than any.
   uint64_t era = 0;
   uint64_t revision = 0;
 };
--- a/src/boragepaddle/event/key_value_source.h
+++ b/src/boragepaddle/event/key_value_source.h
@@ -43,8 +43,8 @@
   std::vector<schema::KeyValue> items;
   uint64_t as_of = 0;
   bool more = false;
-  /// Rises each time the store comes back from an older copy; 0 if the response
-  /// names none, or no whole number.
+  /// Rises each time the store comes back from an older copy. Counted from 1; 0
+  /// if the response names none.
   uint64_t era = 0;
 };
 
--- a/src/boragepaddle/event/prefix_watcher.cc
+++ b/src/boragepaddle/event/prefix_watcher.cc
@@ -24,7 +24,8 @@
       events(std::move(events)),
       timer(loop) {}
 
-void PrefixWatcher::ReadOnce() {
+void PrefixWatcher::ReadOnce(ReadMode read) {
+  this->read_once = read;
   this->Begin(Mode::kReadOnce);
 }
 
@@ -72,7 +73,7 @@
 
 void PrefixWatcher::ListPage(const std::string& after_key) {
   const ReadMode read =
-      this->mode == Mode::kReadOnce ? ReadMode::kMaybeStale : ReadMode::kNewest;
+      this->MayBeStale() ? ReadMode::kMaybeStale : ReadMode::kNewest;
   this->source.List(
       this->prefix, after_key, read,
       [this, epoch = this->epoch](base::Result<SourcePage, SourceError> page) {
@@ -89,12 +90,14 @@
       });
 }
 
-// A listing that may be stale may be answered in an older era; its receiver
-// tells.
+bool PrefixWatcher::MayBeStale() const {
+  return this->mode == Mode::kReadOnce &&
+         this->read_once == ReadMode::kMaybeStale;
+}
+
 base::Result<SourcePage, SourceError> PrefixWatcher::CheckEra(
     base::Result<SourcePage, SourceError> page) const {
-  if (!page || this->mode == Mode::kReadOnce ||
-      page.value().era >= this->position.era) {
+  if (!page || this->MayBeStale() || page.value().era >= this->position.era) {
     return page;
   }
   return SourceError{SourceErrorCode::kOlderEra, 0, page.value().era};
@@ -125,6 +128,9 @@
 void PrefixWatcher::FinishList() {
   if (this->mode == Mode::kReadOnce) {
     // The listing may be stale, so Follow starts with a new one.
+    if (this->MayBeStale()) {
+      this->listed.to.era = 0;
+    }
     this->mode = Mode::kStopped;
     this->events.on_items(std::move(this->listed));
     return;
--- a/src/boragepaddle/event/prefix_watcher.h
+++ b/src/boragepaddle/event/prefix_watcher.h
@@ -58,8 +58,9 @@
                 const PrefixWatcherSettings& settings,
                 PrefixWatcherEvents events);
 
-  /// Lists the keys once, allowing stale results, and does not watch.
-  void ReadOnce();
+  /// Lists the keys once and does not watch. A listing that may be stale counts
+  /// as of an unknown era, since it may be older than the era that it names.
+  void ReadOnce(ReadMode read);
   /// Lists the keys and watches for changes until Stop is called.
   void Follow();
   void Stop();
@@ -77,6 +78,7 @@
   void Begin(Mode mode);
   void Run();
   void ListPage(const std::string& after_key);
+  bool MayBeStale() const;
   /// Turns an answer of an older era into a failure.
   base::Result<SourcePage, SourceError> CheckEra(
       base::Result<SourcePage, SourceError> page) const;
@@ -99,6 +101,8 @@
   PrefixWatcherEvents events;
   boost::asio::steady_timer timer;
   Mode mode = Mode::kStopped;
+  /// Consistency of the listing of kReadOnce.
+  ReadMode read_once = ReadMode::kMaybeStale;
   /// Position up to which all changes are known.
   base::StorePosition position;
   bool must_list = true;
--- a/src/boragepaddle/feed/feed_state.cc
+++ b/src/boragepaddle/feed/feed_state.cc
@@ -187,13 +187,17 @@
   }
   // Equal positions with different digests: earlier changes are missing, so
   // only a snapshot repairs the copy.
-  request.is_snapshot = position.revision == 0 || best->position == position;
+  request.is_snapshot = position.revision == 0 || best->position == position ||
+                        best->position.era != position.era;
   if (request.is_snapshot) {
-    if (now - state.snapshot_requested_at <
-        state.settings.min_snapshot_interval) {
+    // A return of the store must not wait for the interval.
+    if (best->position.era == state.snapshot_requested_era &&
+        now - state.snapshot_requested_at <
+            state.settings.min_snapshot_interval) {
       return FetchRequest();
     }
     state.snapshot_requested_at = now;
+    state.snapshot_requested_era = best->position.era;
   }
   state.fetching_from = request.address;
   state.fetch_sent_at = now;
--- a/src/boragepaddle/feed/feed_state.h
+++ b/src/boragepaddle/feed/feed_state.h
@@ -115,6 +115,7 @@
   std::string fetching_from;
   absl::Time fetch_sent_at = absl::InfinitePast();
   absl::Time snapshot_requested_at = absl::InfinitePast();
+  uint64_t snapshot_requested_era = 0;
 
   /// Content of the last notice to the subscribers.
   absl::Time notice_sent_at = absl::InfinitePast();
--- a/src/boragepaddle/feed/replica.cc
+++ b/src/boragepaddle/feed/replica.cc
@@ -104,7 +104,6 @@
     // Their revisions are given out again.
     replica.tombstones.clear();
     replica.tombstone_revisions.clear();
-    replica.has_changed_era |= replica.position.era != 0;
   }
   for (schema::KeyValue& item : update.items) {
     if ((changes_era || IsNewer(replica, item)) && StoreChange(replica, item)) {
--- a/src/boragepaddle/feed/replica.h
+++ b/src/boragepaddle/feed/replica.h
@@ -30,8 +30,6 @@
   absl::flat_hash_map<std::string, uint64_t> tombstone_revisions;
   /// Limit on tombstones; more than the removals of a fleet during any read.
   size_t max_tombstones = 4096;
-  /// The copy has followed the store from one era to another.
-  bool has_changed_era = false;
 };
 
 /// Changes between two positions of one era, or a snapshot of all items at a
--- a/src/boragepaddle/platform/store_client.cc
+++ b/src/boragepaddle/platform/store_client.cc
@@ -1,5 +1,6 @@
 #include "boragepaddle/platform/store_client.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -51,10 +52,14 @@
              : 0;
 }
 
-/// Returns 0 if the field is missing or not a whole number.
+// The platform's eras may start at 0, which stands for an unknown one here. So
+// does a field that is missing or not a whole number.
 uint64_t DecodeEra(const std::vector<schema::HttpField>& fields) {
   uint64_t era = 0;
-  return absl::SimpleAtoi(event::FieldValue(fields, kEraField), &era) ? era : 0;
+  const bool is_valid =
+      absl::SimpleAtoi(event::FieldValue(fields, kEraField), &era) &&
+      era < std::numeric_limits<uint64_t>::max();
+  return is_valid ? era + 1 : 0;
 }
 
 bool DecodeItem(const Json& object, schema::KeyValue* item) {
--- a/src/boragepaddle/proxy/store_replicator.cc
+++ b/src/boragepaddle/proxy/store_replicator.cc
@@ -70,7 +70,10 @@
 void StoreReplicator::DiscoverHosts(absl::Time now) {
   if (now - this->discovery_read_at >= kDiscoveryInterval) {
     this->discovery_read_at = now;
-    this->watch.ReadOnce();
+    // A cheap read replaces no copy whose era is known.
+    this->watch.ReadOnce(this->replica.position.era == 0
+                             ? event::ReadMode::kMaybeStale
+                             : event::ReadMode::kNewest);
   }
 }
 
@@ -118,11 +121,12 @@
   const absl::Time now = event::BootNow();
   this->feed_state.era = this->replica.position.era;
   this->era_since = now;
-  if (this->feed_state.reading) {
+  const bool is_return = before.era != 0;
+  if (this->feed_state.reading && is_return) {
     // Saves a list of what another node has sent.
     this->watch.AdvanceTo(this->replica.position);
   }
-  this->log.LogState(LogLine("feed", "era_changed")
+  this->log.LogState(LogLine("feed", is_return ? "era_changed" : "era_known")
                          .Add("from", from)
                          .Add("era_before", before.era)
                          .Add("revision_before", before.revision)
@@ -294,16 +298,6 @@
                          this->replica.digest, now);
 }
 
-// Until a return of the store, nodes of earlier releases hold the same copies,
-// and during a rolling release they may be the only sources. After a return
-// they would pass on what the store has lost.
-schema::FeedStamp StoreReplicator::WithEra(schema::FeedStamp stamp) const {
-  if (stamp.era == 0 && !this->replica.has_changed_era) {
-    stamp.era = this->replica.position.era;
-  }
-  return stamp;
-}
-
 void StoreReplicator::NotifySubscribers(absl::Time now) {
   this->LogCurrency(now);
   feed::OnNoticeSent(this->feed_state, now);
@@ -346,11 +340,11 @@
     return true;
   }
   if (const auto* notice = std::get_if<schema::FeedNotice>(&message)) {
-    if (feed::OnStamp(this->feed_state, channel->host,
-                      this->WithEra(notice->stamp), now)) {
+    if (feed::OnStamp(this->feed_state, channel->host, notice->stamp, now)) {
       this->Subscribe(channel->host);
     }
-    if (!notice->lost_items.empty()) {
+    if (!notice->lost_items.empty() &&
+        this->source_channels.contains(channel->host)) {
       this->events.on_lost_items(notice->lost_items);
     }
     this->ReportOutage(now);
@@ -359,7 +353,8 @@
     return true;
   }
   if (const auto* fetch = std::get_if<schema::FeedFetch>(&message)) {
-    // Nodes of earlier releases name no era.
+    // Nodes of earlier releases name no era. Nodes of this one ask for all
+    // items if they know none.
     const base::StorePosition after{
         fetch->era == 0 ? this->replica.position.era : fetch->era,
         fetch->after_revision};
@@ -381,7 +376,7 @@
 void StoreReplicator::OnUpdate(const PeerChannelPtr& channel,
                                const schema::FeedUpdate& update) {
   const absl::Time now = event::BootNow();
-  const schema::FeedStamp stamp = this->WithEra(update.stamp);
+  const schema::FeedStamp& stamp = update.stamp;
   if (this->source_channels.contains(channel->host)) {
     feed::OnStamp(this->feed_state, channel->host, stamp, now);
   }
--- a/src/boragepaddle/proxy/store_replicator.h
+++ b/src/boragepaddle/proxy/store_replicator.h
@@ -63,6 +63,11 @@
   /// The copy has been current once, or no confirmation came in time.
   bool HasInitialState(absl::Time now) const;
 
+  /// True if the copy is known to be up to date.
+  bool IsCurrent(absl::Time now) const {
+    return feed::IsCurrent(this->feed_state, now);
+  }
+
   /// Time since the copy was last known to equal the store; infinite if it
   /// never was.
   absl::Duration CopyAge(absl::Time now) const;
@@ -106,8 +111,6 @@
   /// Logs if the copy became stale or current since the last notice.
   void LogCurrency(absl::Time now);
   schema::FeedStamp CurrentStamp(absl::Time now) const;
-  /// The stamp as sent by this release. Earlier ones send no era.
-  schema::FeedStamp WithEra(schema::FeedStamp stamp) const;
 
   const NodeSettings& settings;
   PeerNetwork& peers;
--- a/tests/integration/store_return_test.py
+++ b/tests/integration/store_return_test.py
@@ -27,11 +27,13 @@
     """Four nodes; the workers of two run the service s1, those of the others s2."""
 
     accounts = None
+    first_era = 1
 
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
         self.store = FakeStore("127.0.0.1")
+        self.store.era = self.first_era
         self.workers = [FakeWorker("127.0.1.%d" % (index + 1), "s1" if index < 2 else "s2", "i-%d" % index)
                         for index in range(4)]
         self.nodes = start_fleet(self, self.folder.name, self.store, self.workers, [READ, WRITE], self.accounts)
@@ -143,6 +145,38 @@
         wait_until(self.nodes[0].is_ready, 10, "readiness after the restart")
         self.assertEqual(self.service_of(self.nodes[0]), "s2")
 
+    def test_a_stale_read_under_the_new_era_replaces_nothing(self):
+        """Guards against a new process that takes a cheap read of before the return for the newest state, and spreads it."""
+        copy = self.store.copy()
+        for _ in range(3):
+            self.publish(READ, WRITE)
+            self.publish(MOVED, WRITE)
+        self.wait_for("s2")
+        self.store.capture_stale_snapshot()
+        self.store.return_from_copy(copy)
+        time.sleep(0.3)
+        self.nodes[0].kill()
+        self.nodes[0].start()
+        wait_until(self.nodes[0].is_ready, 10, "readiness after the restart")
+        self.publish(READ, WRITE)
+        self.wait_for("s1")
+        time.sleep(3)
+        self.wait_for("s1", timeout_s=0.5)
+
+    def test_a_lost_version_outlasts_an_outage_that_follows(self):
+        """Guards against the end of a lost version while the operator cannot write it again."""
+        self.lose_six_changes()
+        time.sleep(0.5)
+        self.store.set_down(True)
+        time.sleep(5)
+        self.wait_for("s2", timeout_s=0.5)
+        self.store.set_down(False)
+        self.rewrite_configuration(MOVED, WRITE)
+        time.sleep(1)
+        self.wait_for("s2", timeout_s=0.5)
+        self.publish(READ, WRITE)
+        self.wait_for("s1")
+
     def test_a_worker_that_said_it_leaves_gets_no_new_work(self):
         """Guards against the restored entry of a worker whose report that it leaves was lost."""
         copy = self.store.copy()
@@ -249,6 +283,22 @@
         self.wait_for("s1")
 
 
+class FirstEraTest(StoreReturnCase):
+    """Guards against an era 0 that is taken for none: the pages do not say where eras begin."""
+
+    first_era = 0
+
+    def test_the_next_change_is_in_force_in_time(self):
+        self.lose_six_changes()
+        self.publish(READ, WRITE)
+        self.wait_for("s1")
+        self.nodes[0].kill()
+        self.nodes[0].start()
+        wait_until(self.nodes[0].is_ready, 10, "readiness after the restart")
+        self.publish(MOVED, WRITE)
+        self.wait_for("s2")
+
+
 class LostKeyTest(StoreReturnCase):
     accounts = [{"name": "acme", "api_keys": ["key-old", "key-new"]}]
 
--- a/tests/unit/feed/feed_simulation.cc
+++ b/tests/unit/feed/feed_simulation.cc
@@ -25,6 +25,7 @@
     : now(absl::UnixEpoch() + absl::Seconds(1000)),
       random(seed),
       last_tick(now) {
+  this->store.content.position.era = 1;
   std::vector<Host> hosts;
   for (size_t index = 0; index < count; ++index) {
     hosts.push_back({absl::StrCat("10.0.", index / 250, ".", index % 250),
--- a/tests/unit/platform_path/documents_test.cc
+++ b/tests/unit/platform_path/documents_test.cc
@@ -261,9 +261,10 @@
     const auto page = DecodePage({200, {{"store-era", text}}, "{\"as_of\":9}"});
     return page ? page.value().era : ~uint64_t{0};
   };
-  CHECK(era_of("7") == 7);
-  for (const char* invalid :
-       {"", "x", "-1", "1.5", "99999999999999999999999"}) {
+  CHECK(era_of("0") == 1);
+  CHECK(era_of("7") == 8);
+  for (const char* invalid : {"", "x", "-1", "1.5", "99999999999999999999999",
+                              "18446744073709551615"}) {
     CHECK(era_of(invalid) == 0);
   }
   CHECK(DecodePage({200, {}, "{\"as_of\":9}"}).value().era == 0);
--- a/tests/unit/platform_path/source_watch_test.cc
+++ b/tests/unit/platform_path/source_watch_test.cc
@@ -81,7 +81,7 @@
     settings.initial_backoff = absl::Milliseconds(1);
     PrefixWatcher watch(this->loop, this->source, "w/", settings, events);
     if (this->read_once) {
-      watch.ReadOnce();
+      watch.ReadOnce(ReadMode::kMaybeStale);
     } else {
       if (this->known_revision > 0) {
         watch.AdvanceTo({0, this->known_revision});
@@ -242,6 +242,17 @@
   CHECK(harness.whole_pages == kLists);
 }
 
+// Guards against a copy of before the return that a cheap read gives under the
+// new era: no later answer could replace it.
+TEST_CASE("A listing that may be stale counts as of an unknown era") {
+  Harness harness;
+  harness.read_once = true;
+  harness.source.answers = {
+      PageOfEra(2, {{{"w/a", "1", 12, false}}, 12, false})};
+  harness.Run();
+  CHECK(harness.replica.position == base::StorePosition{0, 12});
+}
+
 // Guards against a late answer of the store before its return, and an address
 // that still answers in the era before or names none.
 TEST_CASE("An answer in an older era is a failure and changes nothing") {
--- a/tools/mesh/platform_fakes.py
+++ b/tools/mesh/platform_fakes.py
@@ -219,7 +219,7 @@
         address = "%s:%d" % handler.server.server_address
         with self.condition:
             self.calls.append((time.monotonic(), address, handler.path, status))
-            text = self.era_texts.get(address, self.era_texts.get(None, str(era or self.era)))
+            text = self.era_texts.get(address, self.era_texts.get(None, str(self.era if era is None else era)))
         handler.send_response(status)
         if text is not None:
             handler.send_header("Store-Era", text)
