Suspend restored entries of ended workers for as long as the store may keep them

Found by the review: a second return or an outage starts the time anew after which the store drops the entry of an ended worker, but not the time for which it was not used; and a removal that was held back after an outage was forgotten when the copy listed the worker again. In both cases work could go to a worker that was gone.

Both are mended; marks are looked through every 10 s instead of at each tick.

--- a/src/boragepaddle/catalog/worker_directory.cc
+++ b/src/boragepaddle/catalog/worker_directory.cc
@@ -21,6 +21,9 @@
   }
 }
 
+/// There is a mark for each worker that ended in the last minutes.
+constexpr absl::Duration kMarkCheckInterval = absl::Seconds(10);
+
 using Entries = absl::btree_map<std::string, WorkerEntry>;
 
 // An older copy of the source may list the worker again.
@@ -37,19 +40,27 @@
 }
 
 /// Drops marks of workers that are not listed once they are too old.
-template <typename Marks>
 void ExpireMarks(const WorkerDirectory& directory,
-                 Marks& marks,
-                 absl::Time Marks::mapped_type::*time,
+                 absl::btree_map<std::string, ProcessMark>& marks,
                  absl::Time now) {
   for (auto mark = marks.begin(); mark != marks.end();) {
     const bool is_old =
         !directory.entries.contains(mark->first) &&
-        now - mark->second.*time > directory.settings.leaving_retention;
+        now - mark->second.marked_at > directory.settings.leaving_retention;
     mark = is_old ? marks.erase(mark) : std::next(mark);
   }
 }
 
+// The source keeps the entry of an ended worker for its whole lifetime again,
+// and may not drop it during an outage.
+void ExtendSuspensions(WorkerDirectory& directory, absl::Time now) {
+  for (auto& [instance, entry] : directory.entries) {
+    if (entry.suspended_from != absl::InfiniteFuture()) {
+      entry.suspended_until = now + directory.settings.entry_lifetime;
+    }
+  }
+}
+
 }  // namespace
 
 bool IsLeaving(const WorkerEntry& entry) {
@@ -57,11 +68,12 @@
 }
 
 bool IsUsable(const WorkerEntry& entry) {
-  return !IsLeaving(entry) && !entry.superseded && !entry.unconfirmed;
+  return !IsLeaving(entry) && !entry.superseded && !entry.suspended;
 }
 
 void OnSourceFailure(WorkerDirectory& directory, absl::Time now) {
   directory.last_source_failure = std::max(directory.last_source_failure, now);
+  ExtendSuspensions(directory, now);
 }
 
 // A process that leaves does not stop leaving, so what is known of it holds
@@ -84,9 +96,16 @@
     return false;
   }
   const auto mark = directory.ended.find(entry.instance);
-  entry.unconfirmed = !is_listed && mark != directory.ended.end() &&
-                      entry.started_ms <= mark->second.started_ms;
-  entry.trusted_at = now + directory.settings.entry_lifetime;
+  const bool has_ended = !is_listed && mark != directory.ended.end() &&
+                         entry.started_ms <= mark->second.started_ms;
+  if (has_ended) {
+    entry.suspended = true;
+    entry.suspended_from = now;
+  } else if (is_listed) {
+    // A removal that has not taken effect yet still does, but the entry stays.
+    entry.suspended_from = found->second.remove_at;
+  }
+  entry.suspended_until = now + directory.settings.entry_lifetime;
   PutWorker(directory, std::move(entry), now);
   return true;
 }
@@ -116,7 +135,7 @@
                 : directory.leaving.contains(instance)) {
     return false;
   }
-  LeavingMark& mark = directory.leaving[std::string(instance)];
+  ProcessMark& mark = directory.leaving[std::string(instance)];
   mark.marked_at = now;
   mark.started_ms =
       is_listed ? found->second.started_ms : absl::ToUnixMillis(wall_now);
@@ -162,14 +181,17 @@
       changed = true;
       continue;
     }
-    if (entry->second.unconfirmed && entry->second.trusted_at <= now) {
-      entry->second.unconfirmed = false;
-      changed = true;
-    }
+    const bool suspended = entry->second.suspended_from <= now &&
+                           now < entry->second.suspended_until;
+    changed |= suspended != entry->second.suspended;
+    entry->second.suspended = suspended;
     ++entry;
   }
-  ExpireMarks(directory, directory.leaving, &LeavingMark::marked_at, now);
-  ExpireMarks(directory, directory.ended, &EndedMark::ended_at, now);
+  if (now - directory.marks_checked_at >= kMarkCheckInterval) {
+    directory.marks_checked_at = now;
+    ExpireMarks(directory, directory.leaving, now);
+    ExpireMarks(directory, directory.ended, now);
+  }
   directory.generation += changed ? 1 : 0;
   return changed;
 }
--- a/src/boragepaddle/catalog/worker_directory.h
+++ b/src/boragepaddle/catalog/worker_directory.h
@@ -27,9 +27,10 @@
   /// The worker itself said that it is leaving.
   bool leaving = false;
   /// The worker had ended when its entry came back with an older copy of the
-  /// source. It is not used before `trusted_at`.
-  bool unconfirmed = false;
-  absl::Time trusted_at = absl::InfinitePast();
+  /// source. It is not used from `suspended_from` to `suspended_until`.
+  bool suspended = false;
+  absl::Time suspended_from = absl::InfiniteFuture();
+  absl::Time suspended_until = absl::InfiniteFuture();
   /// Remaining warm-up time after the start, as of `seen_at`.
   absl::Duration warm_up_remaining;
   /// Start time of the worker, in milliseconds since the Unix epoch.
@@ -53,28 +54,23 @@
   absl::Duration entry_lifetime = absl::Milliseconds(5500);
 };
 
-/// A worker that said that it is leaving.
-struct LeavingMark {
-  /// Start of the process that said so, in milliseconds since the Unix epoch.
+/// What is known of a process of a worker that may no longer be listed.
+struct ProcessMark {
+  /// Start of the process, in milliseconds since the Unix epoch.
   int64_t started_ms = 0;
   absl::Time marked_at;
 };
 
-/// A worker whose entry was removed.
-struct EndedMark {
-  int64_t started_ms = 0;
-  absl::Time ended_at;
-};
-
 /// Workers by instance id.
 struct WorkerDirectory {
   DirectorySettings settings;
   absl::btree_map<std::string, WorkerEntry> entries;
-  /// By instance id. Kept when an entry is removed, as it may be listed again
-  /// after an outage.
-  absl::btree_map<std::string, LeavingMark> leaving;
-  /// Workers that ended without leaving, by instance id.
-  absl::btree_map<std::string, EndedMark> ended;
+  /// Workers that said that they are leaving, by instance id. Kept when an
+  /// entry is removed, as it may be listed again after an outage.
+  absl::btree_map<std::string, ProcessMark> leaving;
+  /// Workers whose entries were removed without that, by instance id.
+  absl::btree_map<std::string, ProcessMark> ended;
+  absl::Time marks_checked_at = absl::InfinitePast();
   /// Time of the last failed read of the source; removals shortly after it are
   /// provisional.
   absl::Time last_source_failure = absl::InfinitePast();
@@ -123,8 +119,8 @@
                   const base::StorePosition& position,
                   absl::Time now);
 
-/// Removes entries whose grace period has ended, and trusts restored entries
-/// that the source still has. True if anything changed.
+/// Removes entries whose grace period has ended; suspends and resumes entries
+/// of workers that had ended, once it is time. True if anything changed.
 bool ExpireWorkers(WorkerDirectory& directory, absl::Time now);
 
 /// Returns the newest worker at the address; null if none is listed.
