End a lost version of the configuration only while it could be written again

The 10 s for which a lost version stays in force ran on while the store was down, while the process was frozen, and over a second return. A process that had given the version up got it back from one that had not, and one that got it before its first copy dropped it.

Only time in which the copy is current counts, each return starts it anew, and it is 60 s: versions increase, so an early end would only undo what callers have seen. A version that was given up is not taken again from other nodes. A lost version that arrives first is kept. A copy without any configuration has lost it too.

--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -354,7 +354,7 @@
           ? 0
           : static_cast<double>(this->store.routes->position.era));
   this->metrics.SetGauge("config_lost_by_store",
-                         this->store.older_config ? 1 : 0);
+                         this->store.lost_config ? 1 : 0);
   this->metrics.SetGauge(
       "feed_revision",
       static_cast<double>(this->replicator.position().revision));
@@ -434,7 +434,8 @@
     if (catalog::ExpireWorkers(this->store.workers, now)) {
       this->OnStateChanged();
     }
-    this->ReportChanges(ExpireLostConfig(this->store, now));
+    this->ReportChanges(
+        ExpireLostConfig(this->store, this->replicator.IsCurrent(now), now));
     if (this->IsReady() != this->was_ready) {
       this->was_ready = !this->was_ready;
       this->log.LogState(
--- a/src/boragepaddle/proxy/store_state.cc
+++ b/src/boragepaddle/proxy/store_state.cc
@@ -1,5 +1,6 @@
 #include "boragepaddle/proxy/store_state.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -12,9 +13,10 @@
 using Kind = StoreChange::Kind;
 
 /// Time for which a lost version stays in force although the store has an older
-/// one. Operators write lost versions again; the time covers a repetition of
-/// many writes.
-constexpr absl::Duration kLostConfigRetention = absl::Seconds(10);
+/// one. Operators write lost versions again, and versions increase, so this
+/// ends only what the platform excludes; an early end would undo a version that
+/// callers have seen.
+constexpr absl::Duration kLostConfigRetention = absl::Seconds(60);
 
 /// True if the store lost the version in force and has only an older one.
 bool IsOlderVersion(const StoreState& state,
@@ -35,7 +37,7 @@
   state.routes =
       std::make_shared<const catalog::RouteCatalog>(std::move(routes));
   state.routes_item = item;
-  state.older_config.reset();
+  state.lost_config.reset();
 }
 
 StoreChange ApplyConfig(StoreState& state,
@@ -45,6 +47,9 @@
       Kind::kConfigRefused, item.key, {state.era, item.revision}, ""};
   if (item.removed) {
     change.detail = "removed; the previous configuration stays in force";
+    if (state.routes != nullptr && state.routes->position.era < state.era) {
+      state.lost_config = LostConfig{item, change.position, now};
+    }
     return change;
   }
   if (state.routes != nullptr && state.routes->position >= change.position) {
@@ -65,7 +70,7 @@
     change.detail = absl::StrCat("version=", state.routes->version,
                                  " lost_in_era=", state.era,
                                  " store_version=", decoded.value().version);
-    state.older_config = OlderConfig{item, change.position, now};
+    state.lost_config = LostConfig{item, change.position, now};
     return change;
   }
   PutInForce(state, std::move(decoded.value()), item, change);
@@ -121,10 +126,15 @@
     const std::vector<schema::KeyValue>& changes,
     uint64_t era,
     absl::Time now) {
-  const bool is_restored = era > state.era && state.routes != nullptr;
+  // A copy of an unknown era was read by a new process, or came from a node of
+  // an earlier release: no return was seen.
+  const bool is_restored = state.era != 0 && era > state.era;
   if (is_restored) {
     catalog::OnSourceRestored(state.workers, now);
   }
+  if (is_restored && state.lost_config) {
+    state.lost_config->since = now;
+  }
   state.era = era;
   std::vector<StoreChange> applied;
   for (const schema::KeyValue& item : changes) {
@@ -138,8 +148,8 @@
 }
 
 std::vector<schema::KeyValue> LostItems(const StoreState& state) {
-  return state.older_config ? std::vector<schema::KeyValue>{state.routes_item}
-                            : std::vector<schema::KeyValue>();
+  return state.lost_config ? std::vector<schema::KeyValue>{state.routes_item}
+                           : std::vector<schema::KeyValue>();
 }
 
 std::vector<StoreChange> ApplyLostItems(
@@ -152,33 +162,48 @@
     // configuration of the store.
     StoreChange change{Kind::kEntryIgnored, item.key, {0, item.revision}, ""};
     auto decoded = state.dialect.decode_catalog(item.value);
+    const uint64_t known =
+        std::max(state.expired_version_order,
+                 state.routes == nullptr ? 0 : state.routes->version_order);
     if (item.key != state.dialect.config_key || !decoded ||
-        state.routes == nullptr || decoded.value().version_order == 0 ||
-        decoded.value().version_order <= state.routes->version_order) {
+        decoded.value().version_order <= known) {
       change.detail = "lost by the store; no newer configuration";
       applied.push_back(std::move(change));
       continue;
     }
-    const OlderConfig older{state.routes_item, state.routes->position, now};
+    absl::optional<LostConfig> lost;
+    if (state.routes != nullptr) {
+      lost = LostConfig{state.routes_item, state.routes->position, now};
+    }
     PutInForce(state, std::move(decoded.value()), item, change);
-    state.older_config = older;
+    state.lost_config = lost;
     change.detail += " lost by the store";
     applied.push_back(std::move(change));
   }
   return applied;
 }
 
-std::vector<StoreChange> ExpireLostConfig(StoreState& state, absl::Time now) {
-  if (!state.older_config ||
-      now - state.older_config->seen_at < kLostConfigRetention) {
+std::vector<StoreChange> ExpireLostConfig(StoreState& state,
+                                          bool is_copy_current,
+                                          absl::Time now) {
+  if (!state.lost_config) {
+    return {};
+  }
+  if (!is_copy_current) {
+    state.lost_config->since = now;
+  }
+  if (now - state.lost_config->since < kLostConfigRetention ||
+      state.lost_config->store_item.removed) {
     return {};
   }
-  const OlderConfig older = std::move(*state.older_config);
-  state.older_config.reset();
-  StoreChange change{Kind::kConfigRefused, older.item.key, older.position, ""};
-  auto decoded = state.dialect.decode_catalog(older.item.value);
+  const LostConfig lost = std::move(*state.lost_config);
+  state.lost_config.reset();
+  state.expired_version_order = state.routes->version_order;
+  StoreChange change{Kind::kConfigRefused, lost.store_item.key,
+                     lost.store_position, ""};
+  auto decoded = state.dialect.decode_catalog(lost.store_item.value);
   if (decoded) {
-    PutInForce(state, std::move(decoded.value()), older.item, change);
+    PutInForce(state, std::move(decoded.value()), lost.store_item, change);
   }
   return {std::move(change)};
 }
--- a/src/boragepaddle/proxy/store_state.h
+++ b/src/boragepaddle/proxy/store_state.h
@@ -34,12 +34,13 @@
   std::string detail;
 };
 
-/// The store's configuration, while a newer version that the store has lost is
-/// in force.
-struct OlderConfig {
-  schema::KeyValue item;
-  base::StorePosition position;
-  absl::Time seen_at;
+/// What the store has instead of the version in force, which it has lost.
+struct LostConfig {
+  /// An older version, or the removal of the configuration.
+  schema::KeyValue store_item;
+  base::StorePosition store_position;
+  /// Time from which on the lost version could have been written again.
+  absl::Time since;
 };
 
 /// Decoded content of the store: the routes in force and the workers.
@@ -51,7 +52,10 @@
   std::shared_ptr<const catalog::RouteCatalog> routes;
   /// The item that the routes were decoded from.
   schema::KeyValue routes_item;
-  absl::optional<OlderConfig> older_config;
+  /// Set while the version in force is lost.
+  absl::optional<LostConfig> lost_config;
+  /// Lost version that nobody wrote again; 0 if there is none.
+  uint64_t expired_version_order = 0;
   catalog::WorkerDirectory workers;
 };
 
@@ -75,9 +79,11 @@
     const std::vector<schema::KeyValue>& items,
     absl::Time now);
 
-/// Puts the store's configuration in force that has been older than the one in
-/// force for too long: nobody writes the lost version again.
-std::vector<StoreChange> ExpireLostConfig(StoreState& state, absl::Time now);
+/// Gives up a lost version that nobody writes again, and puts the store's one
+/// in force. Only time in which the copy is current counts.
+std::vector<StoreChange> ExpireLostConfig(StoreState& state,
+                                          bool is_copy_current,
+                                          absl::Time now);
 
 }  // namespace boragepaddle::proxy
 
