Split the return of the fake store into its two halves

The schedule of the soak performs events from one thread, so it cannot use return_from_copy, which sleeps while the store is away. Its second half is now restore; return_from_copy behaves as before.

--- a/tools/mesh/platform_fakes.py
+++ b/tools/mesh/platform_fakes.py
@@ -149,6 +149,10 @@
         Returns the time of the return."""
         self.set_down(True)
         time.sleep(down_s)
+        return self.restore(copy)
+
+    def restore(self, copy):
+        """The end of return_from_copy, for callers that go on meanwhile."""
         with self.condition:
             self.items = dict(copy.items)
             self.events = list(copy.events)
