Soak the return of the store; check CONFIG and DRAIN

Change: the event store_return, in "all" and "accounts", and the profile "returns", which also has two returns in quick succession, writes of others that are lost, and workers whose entry goes. After a return, workers and the operator write again what they wrote. Each configuration change moves one of four routes between s1 and s2. store_rules.py checks CONFIG (late, and back to an older version in one process) and DRAIN with the users' bounds. A request of a route that moves counts for the retry budget of the service it reached; DENIED and QUOTA allow for the older version after a return that lost the newer one, and are the same without returns.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -2,14 +2,30 @@
 
 import heapq
 import itertools
+import random
 import signal
 import time
 
+from soak.fleet import COPY_AGE_S, ENTRY_REMOVAL_S
+
 RESTART_S = (0.05, 1.5)
 FREEZE_S = (0.3, 3.0)
 DARK_S = (0.5, 2.5)
 CUT_S = (0.3, 4.0)
 DOWN_S = (0.5, 4.0)
+# Time for which the store is away before it comes back from a copy, and between two returns in quick succession.
+AWAY_S = (0.2, 2.0)
+NEXT_AWAY_S = (0.1, 1.5)
+COPY_INTERVAL_S = 1.0
+# Times after a return at which workers and the operator write again what they wrote.
+ENTRY_REWRITE_S = (0.0, 2.0)
+CONFIG_REWRITE_S = (0.2, 2.0)
+# Writes of other users of the store that a return loses. After it, the revision stays below the lost ones for long.
+OTHER_WRITES = 200
+# The operator tries again after this time while the store is away.
+WRITE_RETRY_S = (0.1, 1.5)
+# Time from the report of a worker that it leaves to the removal of its entry.
+DRAIN_TIME_S = (0.3, 2.5)
 # Time for which clients send a crashing request again and again.
 CRASHING_S = (4.0, 8.0)
 # A new process starts this long before the links of a node that lost power are back.
@@ -23,11 +39,14 @@
                "term": 2}
 ANSWERS = {"answers_lost": 1}
 CRASHES = {"crashing_request": 0.3, "answers_lost": 1, "worker_crash": 0.3, "kill": 2, "term": 1, "resets": 1}
+RETURNS = {"store_return": 0.5, "double_return": 0.2, "configuration": 5, "worker_leaves": 4, "worker_ends": 2,
+           "term": 2, "kill": 1, "worker_crash": 1, "freeze": 1, "hup": 1, "cut": 0.2}
 MANY_CRASHES = dict(CRASHES, crashing_request=3, worker_crash=1)
-ALL = dict(CONNECTIONS, **PLANNED, **ANSWERS, freeze=2, store_down=1, worker_crash=2, herd_kill=0.5, delay=1)
+ALL = dict(CONNECTIONS, **PLANNED, **ANSWERS, freeze=2, store_down=1, worker_crash=2, herd_kill=0.5, delay=1,
+           store_return=1)
 ACCOUNTS = dict(ALL, rotate_key=3, change_limit=2)
 PROFILES = {"all": ALL, "accounts": ACCOUNTS, "connections": CONNECTIONS, "planned": PLANNED, "answers": ANSWERS,
-            "crashes": CRASHES, "many_crashes": MANY_CRASHES}
+            "crashes": CRASHES, "many_crashes": MANY_CRASHES, "returns": RETURNS}
 
 
 class Schedule:
@@ -36,6 +55,9 @@
     def __init__(self, fleet, rng, duration_s, profile):
         self.fleet = fleet
         self.rng = rng
+        # For draws whose number depends on the moment at which the store returns; `rng` alone fixes the schedule.
+        self.store_rng = random.Random()
+        self.store_rng.setstate(rng.getstate())
         self.end = time.monotonic() + duration_s
         self.queue = []
         self.order = itertools.count()
@@ -43,6 +65,7 @@
         self.kinds, self.weights = list(PROFILES[profile]), list(PROFILES[profile].values())
         for _ in range(LANES):
             self.after(rng.uniform(0, 2), self.next_event)
+        self.keep_copy()
 
     def after(self, seconds, action, *arguments):
         heapq.heappush(self.queue, (time.monotonic() + seconds, next(self.order), action, arguments))
@@ -68,6 +91,18 @@
         getattr(self, kind)()
         self.after(self.between(LANE_PAUSE_S), self.next_event)
 
+    def keep_copy(self):
+        self.fleet.keep_copy()
+        if time.monotonic() < self.end:
+            self.after(COPY_INTERVAL_S, self.keep_copy)
+
+    def write(self, action, *arguments):
+        """Performs an action of the operator that writes to the store, once the store is there."""
+        if self.fleet.away is not None:
+            self.after(self.store_rng.uniform(*WRITE_RETRY_S), self.write, action, *arguments)
+        else:
+            action(*arguments)
+
     def any_node(self):
         return self.rng.randrange(len(self.fleet.nodes))
 
@@ -149,6 +184,45 @@
         self.fleet.refuse_store(nodes, True)
         self.after(self.between(DOWN_S), self.fleet.refuse_store, nodes, False)
 
+    def store_return(self):
+        self.return_soon(self.between(AWAY_S))
+
+    def double_return(self):
+        away_s = self.between(AWAY_S)
+        self.return_soon(away_s)
+        self.after(away_s + self.between(NEXT_AWAY_S), self.store_return)
+
+    def return_soon(self, away_s):
+        """In half of the cases, many writes of others are lost."""
+        if self.rng.random() < 0.5:
+            self.take_store_away(away_s)
+        else:
+            self.fleet.write_other_keys(OTHER_WRITES)
+            self.after(COPY_AGE_S[0], self.take_store_away, away_s)
+
+    def take_store_away(self, away_s):
+        if self.fleet.away is None:
+            self.fleet.take_store_away()
+            self.after(away_s, self.return_store)
+
+    def return_store(self):
+        self.fleet.return_store(self.store_rng)
+        for index in range(len(self.fleet.nodes)):
+            self.after(self.store_rng.uniform(*ENTRY_REWRITE_S), self.rewrite_entry, index)
+        for key in self.fleet.ended_entries():
+            self.after(ENTRY_REMOVAL_S, self.fleet.remove_entry, key)
+        self.after(self.store_rng.uniform(*CONFIG_REWRITE_S), self.rewrite_configuration, self.fleet.version)
+
+    def rewrite_entry(self, index):
+        """While the store is away again, the next return has the entry written."""
+        if self.fleet.away is None:
+            self.fleet.write_entry(index)
+
+    def rewrite_configuration(self, version):
+        """Unless a newer version has been written meanwhile."""
+        if self.fleet.away is None and self.fleet.version == version:
+            self.fleet.write_configuration()
+
     def worker_crash(self):
         self.fleet.crash_worker(self.any_node(), self.between(DOWN_S))
 
@@ -163,18 +237,27 @@
 
     def worker_leaves(self):
         node = self.any_node()
-        self.fleet.list_worker(node, "draining")
-        self.after(self.between(CUT_S), self.fleet.list_worker, node, "ready")
+        self.fleet.set_worker_state(node, "draining")
+        self.after(self.between(CUT_S), self.fleet.set_worker_state, node, "ready")
+
+    def worker_ends(self):
+        """The worker leaves, then its entry goes. Its process still runs until it starts anew as another instance."""
+        node, drain_s = self.any_node(), self.between(DRAIN_TIME_S)
+        gone_s = self.between(CUT_S)
+        self.fleet.set_worker_state(node, "draining")
+        self.after(drain_s, self.fleet.end_worker, node)
+        self.after(drain_s + gone_s, self.fleet.start_worker, node)
 
     def hup(self):
         for node in self.some_nodes(0.3):
             self.fleet.signal(node, signal.SIGHUP)
 
     def configuration(self):
-        self.fleet.publish()
+        self.write(self.fleet.move_route)
 
     def rotate_key(self):
-        self.fleet.rotate_key(self.rng.randrange(len(self.fleet.accounts)))
+        self.write(self.fleet.rotate_key, self.rng.randrange(len(self.fleet.accounts)))
 
     def change_limit(self):
-        self.fleet.change_limit(self.rng.randrange(len(self.fleet.accounts)), self.rng.choice((0.5, 1, 1.5)))
+        self.write(self.fleet.change_limit, self.rng.randrange(len(self.fleet.accounts)),
+                   self.rng.choice((0.5, 1, 1.5)))
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -4,6 +4,8 @@
 import collections
 import zlib
 
+from soak.store_rules import StoreRules
+
 # From the users' rules.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 CONTACT_S = 3.0
@@ -40,6 +42,8 @@
         # (time, worker, instance) of each run, and times of all arrivals at workers.
         self.runs = []
         self.arrivals = []
+        # (time, worker) of all arrivals.
+        self.reached = []
         # The call was made by a run that was a repeat.
         self.is_in_repeat = False
         # Client account whose key the request has, and the key.
@@ -49,8 +53,10 @@
 class Ledger:
     """Checks while the run goes on what can be checked at once; check_all has the rest."""
 
-    def __init__(self, settings):
+    def __init__(self, settings, services):
+        """`services` has the service of each worker."""
         self.settings = settings
+        self.services = services
         self.requests = {}
         self.violations = []
         # By service: repeats beyond the budget in the worst window (0 if none), and a description.
@@ -64,8 +70,13 @@
         self.disturbances = []
         # (node, time) of each SIGTERM.
         self.stops = []
-        # Client accounts by name as last published, and when: [(time, {name: account})].
+        # Client accounts by name as last published, and when: [(time, {name: account})]. One item for each version of
+        # the configuration, from version 1 on.
         self.account_versions = []
+        # Set at the end of the run.
+        self.store_history = None
+        # Handlings of requests that the rules CONFIG and DRAIN could be checked on, by rule.
+        self.checked = {}
 
     def report(self, rule, request, text):
         self.violations.append("%s: %s (%s at node%s, sent %.3f, status %s, runs %s): %s" % (
@@ -82,6 +93,7 @@
             self.violations.append("UNASKED: %s at worker %s was not sent" % (attempt, worker))
             return None
         request.arrivals.append(now)
+        request.reached.append((now, worker))
         if request.content != (method, path, zlib.crc32(body)):
             self.report("UNASKED", request, "another method, path or body")
         if request.origin != origin:
@@ -148,10 +160,19 @@
         self.check_crashes()
         self.check_keys()
         self.check_limits()
-        for service in {request.route["service"] for request in self.requests.values()}:
+        for service in set(self.services):
             self.check_budget(service)
+        rules = StoreRules(self.store_history, self.disturbances, self.services, self.report)
+        rules.check(list(self.requests.values()))
+        self.checked = dict(rules.checked)
         return self.violations
 
+    def service_of(self, request):
+        """Service that the request belongs to; of a route that moves, that of the first worker reached."""
+        if not request.route.get("moves"):
+            return request.route["service"]
+        return self.services[request.reached[0][1]] if request.reached else None
+
     def is_excused_by_stop(self, request):
         """The worker was still at work near the end of the grace time on a request of the first seconds."""
         return any(node == request.node and request.sent_at <= at + STOP_EARLY_S and
@@ -192,9 +213,10 @@
             if len(late) > MAX_LATE_CRASHES:
                 self.violations.append("BUDGET: %s crashed %d workers, %d of them late" % (path, len(crashes), len(late)))
 
-    def versions_in_force(self, begin, end):
-        """Accounts of all versions that may be in force somewhere between the two times."""
-        started = [at for at, _ in self.account_versions if at + CONFIG_S <= begin]
+    def versions_in_force(self, begin, end, node=None):
+        """Accounts of all versions that may be in force at the node, or at any, somewhere between the two times."""
+        started = [at for index, (at, _) in enumerate(self.account_versions) if at + CONFIG_S <= begin and
+                   self.store_history.has_version(index + 1, node, begin, CONFIG_S)]
         oldest = started[-1] if started else 0
         return [accounts for at, accounts in self.account_versions if oldest <= at <= end]
 
@@ -203,7 +225,7 @@
         for request in self.requests.values():
             if (request.status == 401 and request.key is not None and
                     all(request.key in accounts[request.account]["api_keys"]
-                        for accounts in self.versions_in_force(request.sent_at, request.ended_at)) and
+                        for accounts in self.versions_in_force(request.sent_at, request.ended_at, request.node)) and
                     not self.is_disturbed(request.node, request.sent_at - CONTACT_S, request.ended_at)):
                 self.report("DENIED", request, "401 for a key of all versions")
 
@@ -237,7 +259,7 @@
         window = self.settings["budget_window_s"]
         sent, repeats = [], []
         for request in self.requests.values():
-            if request.route["service"] != service:
+            if self.service_of(request) != service:
                 continue
             sent.append(request.sent_at)
             repeats += request.arrivals if request.is_in_repeat else request.arrivals[1:]
@@ -269,5 +291,5 @@
         by_status = collections.Counter(request.status for request in self.requests.values())
         return {"requests": len(self.requests), "crashes": {path: len(self.crashes[path]) for path in self.crashing},
                 "by_status": {str(key): by_status[key] for key in by_status},
-                "overtime": len(self.overtime),
+                "overtime": len(self.overtime), "checked": self.checked,
                 "repeated": sum(1 for request in self.requests.values() if len(request.arrivals) > 1)}
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -35,6 +35,9 @@
                    budget={key: round(value[0], 1) for key, value in result["budget"].items()})
     with open(os.path.join(folder, "events.json"), "w", encoding="utf-8") as out:
         json.dump({"performed": schedule.performed, "disturbances": fleet.disturbances, "stops": fleet.stops,
+                   "store_disturbances": fleet.history.disturbances, "starts": fleet.history.starts,
+                   "configurations": [vars(write) for write in fleet.history.configurations],
+                   "entries": [vars(write) for write in fleet.history.entries], "versions": fleet.history.versions,
                    "violations": violations, "failures": result["failures"]}, out, indent=1)
     return violations, summary
 
--- a/tools/soak/traffic.py
+++ b/tools/soak/traffic.py
@@ -79,7 +79,8 @@
         method, path = start.split()[:2]
         attempt = fields.get("attempt-id", "")
         reply = {"Attempt-Id": attempt}
-        if fields.get("expected-instance") != self.instance:
+        instance = self.instance
+        if fields.get("expected-instance") != instance:
             writer.write(encode("HTTP/1.1 421 Misdirected", dict(reply, **{"Not-Executed": "1"}), b""))
             return
         ledger, now = self.traffic.ledger, time.monotonic()
@@ -90,7 +91,7 @@
             writer.write(encode("HTTP/1.1 503 Busy", dict(reply, **{"Not-Executed": "1"}), b""))
             return
         is_repeat = request.is_in_repeat or len(request.arrivals) > 1
-        ledger.on_run(request, self.index, self.instance, now)
+        ledger.on_run(request, self.index, instance, now)
         if ledger.is_crashing(request):
             ledger.on_crash(request, now)
             asyncio.ensure_future(self.crash(self.traffic.random.uniform(*CRASHED_DOWN_S), self.instance))
@@ -103,7 +104,7 @@
         if time.monotonic() < self.lost_until and self.traffic.random.random() < self.lost_share:
             raise ConnectionError("answer lost")
         writer.write(encode("HTTP/1.1 %d Done" % status, dict(reply, **{"Response-Stamp": "stamp-" + attempt}),
-                            ledger.expected_body(self.instance, request) if status == 200 else b""))
+                            ledger.expected_body(instance, request) if status == 200 else b""))
         await writer.drain()
 
     async def work(self, request, is_repeat, deadline):
@@ -178,7 +179,7 @@
         self.layout = layout
         self.random = random.Random(seed)
         self.routes = {route["name"]: route for route in layout["routes"]}
-        self.ledger = Ledger(layout["bounds"])
+        self.ledger = Ledger(layout["bounds"], layout["services"])
         self.workers = []
         self.stopping = False
 
@@ -237,6 +238,8 @@
             elif name == "crash":
                 asyncio.ensure_future(self.workers[arguments["index"]].crash(arguments["down_s"],
                                                                             arguments["instance"]))
+            elif name == "rename":
+                self.workers[arguments["index"]].instance = arguments["instance"]
             elif name == "lose_answers":
                 worker = self.workers[arguments["index"]]
                 worker.lost_share, worker.lost_until = arguments["share"], time.monotonic() + arguments["for_s"]
@@ -251,7 +254,7 @@
         await ended.wait()
         asyncio.get_running_loop().remove_reader(commands.fileno())
         await asyncio.wait(clients, timeout=max(route["limit_s"] for route in self.layout["routes"]) + 2)
-        self.ledger.disturbances, self.ledger.stops = commands.recv()
+        self.ledger.disturbances, self.ledger.stops, self.ledger.store_history = commands.recv()
         violations = self.ledger.check_all()
         commands.send({"violations": violations, "failures": self.ledger.failures(), "summary": self.ledger.summary(),
                        "budget": self.ledger.worst_budget_windows, "served_late": self.served_share_late()})
@@ -261,7 +264,7 @@
         end = max(request.sent_at for request in self.ledger.requests.values())
         late = [request for request in self.ledger.requests.values()
                 if request.sent_at > end - self.layout["calm_s"] / 2 and "." not in request.attempt and
-                request.status != 429 and not self.ledger.is_crashing(request)]
+                request.status != 429 and not self.ledger.is_crashing(request) and not request.route.get("is_optional")]
         return sum(1 for request in late if request.status == 200) / max(1, len(late))
 
 
