--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -24,6 +24,8 @@
 OTHER_WRITES = 200
 # The operator tries again after this time while the store is away.
 WRITE_RETRY_S = (0.1, 1.5)
+# Time for which a worker leaves. Well above the time that nodes have to learn of it.
+LEAVE_S = (0.3, 8.0)
 # Time from the report of a worker that it leaves to the removal of its entry.
 DRAIN_TIME_S = (0.3, 2.5)
 # Time for which clients send a crashing request again and again.
@@ -39,7 +41,7 @@
                "term": 2}
 ANSWERS = {"answers_lost": 1}
 CRASHES = {"crashing_request": 0.3, "answers_lost": 1, "worker_crash": 0.3, "kill": 2, "term": 1, "resets": 1}
-RETURNS = {"store_return": 0.5, "double_return": 0.2, "configuration": 5, "worker_leaves": 4, "worker_ends": 2,
+RETURNS = {"store_return": 0.5, "double_return": 0.2, "configuration": 5, "worker_leaves": 2.5, "worker_ends": 2,
            "term": 2, "kill": 1, "worker_crash": 1, "freeze": 1, "hup": 1, "cut": 0.2}
 MANY_CRASHES = dict(CRASHES, crashing_request=3, worker_crash=1)
 ALL = dict(CONNECTIONS, **PLANNED, **ANSWERS, freeze=2, store_down=1, worker_crash=2, herd_kill=0.5, delay=1,
@@ -238,12 +240,11 @@
     def worker_leaves(self):
         node = self.any_node()
         self.fleet.set_worker_state(node, "draining")
-        self.after(self.between(CUT_S), self.fleet.set_worker_state, node, "ready")
+        self.after(self.between(LEAVE_S), self.fleet.set_worker_state, node, "ready")
 
     def worker_ends(self):
         """The worker leaves, then its entry goes. Its process still runs until it starts anew as another instance."""
-        node, drain_s = self.any_node(), self.between(DRAIN_TIME_S)
-        gone_s = self.between(CUT_S)
+        node, drain_s, gone_s = self.any_node(), self.between(DRAIN_TIME_S), self.between(LEAVE_S)
         self.fleet.set_worker_state(node, "draining")
         self.after(drain_s, self.fleet.end_worker, node)
         self.after(drain_s + gone_s, self.fleet.start_worker, node)
