--- a/tests/integration/soak_test.py
+++ b/tests/integration/soak_test.py
@@ -8,7 +8,7 @@
 
 SETTINGS = {"nodes": 6, "clients": 4, "duration_s": 12, "calm_s": 8}
 # The schedule of a seed is fixed; the moments at which processes are hit vary a little.
-RUNS = (("all", 1), ("connections", 5), ("planned", 3), ("crashes", 602), ("accounts", 701))
+RUNS = (("all", 1), ("connections", 5), ("planned", 3), ("crashes", 602), ("accounts", 701), ("returns", 801))
 
 
 class SoakTest(unittest.TestCase):
