Check DRAIN also while the worker's own node is disturbed

Cause: a request was left out if the node beside the worker had been disturbed for any reason in the last 3 s, though the users' rule asks only that its sender is in touch.

Change: such requests count, unless that node is slowed or frozen, since a request may then wait in it. Those are counted in the summary (drain_slowed).

--- a/tools/soak/store_rules.py
+++ b/tools/soak/store_rules.py
@@ -91,10 +91,12 @@
                     self.report("CONFIG", request, "handled by %s at %.3f, versions %d to %d do not allow it" % (
                         service or "no route", at, oldest, newest))
 
+    def is_slowed(self, node, begin, end):
+        return any(kind in SLOWED and other in (None, node) and until >= begin and start <= end
+                   for start, until, other, kind in self.disturbances)
+
     def regress_s(self, node, begin, end):
-        is_slowed = any(kind in SLOWED and other in (None, node) and until >= begin - SLOWED_REGRESS_S and start <= end
-                        for start, until, other, kind in self.disturbances)
-        return SLOWED_REGRESS_S if is_slowed else REGRESS_S
+        return SLOWED_REGRESS_S if self.is_slowed(node, begin - SLOWED_REGRESS_S, end) else REGRESS_S
 
     def check_regress(self, requests):
         """Requests to one process, disturbed or not."""
@@ -129,11 +131,13 @@
         for request in requests:
             for at, worker in request.reached:
                 writes = self.leaving_writes(worker, at)
-                if (not writes or self.is_node_disturbed(request.node, at) or self.is_node_disturbed(worker, at) or
-                        first_outside(at, down) > at):
+                if not writes or self.is_node_disturbed(request.node, at) or first_outside(at, down) > at:
                     continue
                 known = [write for write in writes if self.must_know(write, request.node, at, DRAIN_S)]
                 self.checked["drain"] += 1
-                if known:
+                # The node beside the worker hands the request on; while it is frozen, requests wait in it.
+                if known and self.is_slowed(worker, at - CONTACT_S, at):
+                    self.checked["drain_slowed"] += 1
+                elif known:
                     self.report("DRAIN", request, "reached worker %d at %.3f, %s since %.3f" % (
                         worker, at, known[0].state, known[0].acked_at))
