Test a process that starts after a worker was gone, then a return

Worker 0 left and its entry went; 1.0 s later the node's process started anew (planned stop), read the store at revision 26 without the entry, and 1.3 s later the store went away and came back from a copy of revision 10 with the worker as ready. A process keeps a mark only of workers it has seen leave or end, and its peers hand none on, so it used the worker.

Change: a test with the same order, in which the process is in touch for 3 s before the store goes away.

--- a/tests/integration/store_return_test.py
+++ b/tests/integration/store_return_test.py
@@ -18,6 +18,7 @@
 # From the users' bounds.
 CONFIG_APPLY_S = 2.0
 DRAIN_S = 2.0
+CONTACT_S = 3.0
 # Time within which live workers have written their entries again.
 REWRITE_S = 1.0
 MAX_READINGS_PER_NODE = 3
@@ -181,6 +182,21 @@
         self.call_all_until(returned + REWRITE_S + 0.6)
         self.assertEqual(len(self.workers[0].runs), before)
 
+    def test_a_node_that_starts_after_a_worker_was_gone_gives_it_no_work(self):
+        """Guards against the restored entry at a process that has never seen the worker, though it was in touch for
+        CONTACT_S before the store went away."""
+        copy = self.store.copy()
+        self.store.remove("servers/i-0")
+        time.sleep(0.6)
+        self.nodes[1].kill()
+        self.nodes[1].start()
+        wait_until(self.nodes[1].is_ready, 10, "readiness after the restart")
+        time.sleep(CONTACT_S)
+        returned = self.store.return_from_copy(copy)
+        before = len(self.workers[0].runs)
+        self.call_all_until(returned + REWRITE_S)
+        self.assertEqual(len(self.workers[0].runs), before)
+
     def test_a_worker_whose_removal_was_lost_is_used_again_if_it_lives(self):
         """Guards against losing a worker for good whose entry had expired only for a moment."""
         copy = self.store.copy()
