Suspend restored entries that a complete list lacked

Callers saw requests at a worker that had ended, sent by a node whose process had started after that end: after the store's return its entry was back, and the process had no mark of a worker that it had never seen.

Cause: only what a process had seen leave or end was remembered. A worker that had started before the list was last known to be complete, and was not in it, had ended too; its restored entry is now suspended like that of a worker seen to end. One that started later is used at once.

One unit test more.

--- a/src/boragepaddle/catalog/worker_directory.cc
+++ b/src/boragepaddle/catalog/worker_directory.cc
@@ -87,6 +87,8 @@
   }
 }
 
+// A worker that had started and was not in a complete list had ended, also
+// before this process could see it end.
 bool PutRestoredWorker(WorkerDirectory& directory,
                        WorkerEntry entry,
                        absl::Time now) {
@@ -96,8 +98,10 @@
     return false;
   }
   const auto mark = directory.ended.find(entry.instance);
-  const bool has_ended = !is_listed && mark != directory.ended.end() &&
+  const bool is_marked = mark != directory.ended.end() &&
                          entry.started_ms <= mark->second.started_ms;
+  const bool has_ended =
+      !is_listed && (is_marked || entry.started_ms <= directory.complete_at_ms);
   if (has_ended) {
     entry.suspended = true;
     entry.suspended_from = now;
--- a/src/boragepaddle/catalog/worker_directory.h
+++ b/src/boragepaddle/catalog/worker_directory.h
@@ -71,6 +71,9 @@
   /// Workers whose entries were removed without that, by instance id.
   absl::btree_map<std::string, ProcessMark> ended;
   absl::Time marks_checked_at = absl::InfinitePast();
+  /// Time of day, in milliseconds since the Unix epoch, at which the list was
+  /// last known to be complete; 0 if it never was.
+  int64_t complete_at_ms = 0;
   /// Time of the last failed read of the source; removals shortly after it are
   /// provisional.
   absl::Time last_source_failure = absl::InfinitePast();
--- a/src/boragepaddle/feed/feed_state.cc
+++ b/src/boragepaddle/feed/feed_state.cc
@@ -287,6 +287,12 @@
   return reports[std::min<size_t>(1, reports.size() - 1)];
 }
 
+bool IsBehindInEra(const FeedState& state) {
+  return absl::c_any_of(state.sources, [&](const auto& source) {
+    return source.second.subscribed && source.second.position.era > state.era;
+  });
+}
+
 bool IsCurrent(const FeedState& state, absl::Time now) {
   return now - BestConfirmation(state, now).at <= state.settings.max_age;
 }
--- a/src/boragepaddle/feed/feed_state.h
+++ b/src/boragepaddle/feed/feed_state.h
@@ -189,6 +189,9 @@
 /// nodes reports is taken for a local fault of that node and ignored.
 absl::Time LastOutage(const FeedState& state, absl::Time now);
 
+/// True if a source has a copy of a newer era than this node.
+bool IsBehindInEra(const FeedState& state);
+
 /// True if the copy of this node is current.
 bool IsCurrent(const FeedState& state, absl::Time now);
 
--- a/src/boragepaddle/proxy/proxy_node.cc
+++ b/src/boragepaddle/proxy/proxy_node.cc
@@ -434,8 +434,12 @@
     if (catalog::ExpireWorkers(this->store.workers, now)) {
       this->OnStateChanged();
     }
-    this->ReportChanges(
-        ExpireLostConfig(this->store, this->replicator.IsCurrent(now), now));
+    const bool is_current = this->replicator.IsCurrent(now);
+    if (is_current) {
+      this->store.workers.complete_at_ms =
+          absl::ToUnixMillis(absl::Now() - this->replicator.CopyAge(now));
+    }
+    this->ReportChanges(ExpireLostConfig(this->store, is_current, now));
     if (this->IsReady() != this->was_ready) {
       this->was_ready = !this->was_ready;
       this->log.LogState(
--- a/src/boragepaddle/proxy/store_replicator.h
+++ b/src/boragepaddle/proxy/store_replicator.h
@@ -65,7 +65,8 @@
 
   /// True if the copy is known to be up to date.
   bool IsCurrent(absl::Time now) const {
-    return feed::IsCurrent(this->feed_state, now);
+    return feed::IsCurrent(this->feed_state, now) &&
+           !feed::IsBehindInEra(this->feed_state);
   }
 
   /// Time since the copy was last known to equal the store; infinite if it
--- a/tests/unit/platform_path/store_state_test.cc
+++ b/tests/unit/platform_path/store_state_test.cc
@@ -218,6 +218,18 @@
   CHECK(catalog::IsUsable(state.workers.entries.at("a")));
 }
 
+// Guards against work for a worker that had ended before this process started,
+// and against suspending one that started after the list was complete.
+TEST_CASE("A restored entry that a complete list lacked is suspended") {
+  StoreState state = MakeState();
+  ApplyItems(state, {{"cfg/now", "v5", 5, false}}, 1, At(0));
+  state.workers.complete_at_ms = 5;
+  ApplyItems(state, {{"w/a", "s@4", 3, false}, {"w/b", "s@6", 7, false}}, 2,
+             At(1));
+  CHECK_FALSE(catalog::IsUsable(state.workers.entries.at("a")));
+  CHECK(catalog::IsUsable(state.workers.entries.at("b")));
+}
+
 // Guards against the entry of an ended worker whose time starts anew with each
 // return, and with an outage.
 TEST_CASE("A second return or an outage extends the suspension of an entry") {
