--- a/tests/integration/store_return_test.py
+++ b/tests/integration/store_return_test.py
@@ -60,15 +60,23 @@
             wait_until(lambda node=node: self.service_of(node, path) == expected, max(0.01, end - time.monotonic()),
                        "%s from %s at %s" % (expected, path, node.name))
 
-    def lose_six_changes(self):
-        """Six versions move a route to s2 and back; the last one leaves it at s2. All are lost."""
-        copy = self.store.copy()
+    def publish_six_changes(self):
+        """Six versions move a route to s2 and back; the last one leaves it at s2."""
         for _ in range(3):
             self.publish(READ, WRITE)
             self.publish(MOVED, WRITE)
         self.wait_for("s2")
+
+    def lose_six_changes(self):
+        copy = self.store.copy()
+        self.publish_six_changes()
         return self.store.return_from_copy(copy)
 
+    def restart(self, node):
+        node.kill()
+        node.start()
+        wait_until(node.is_ready, 10, "readiness after the restart")
+
     def rewrite_configuration(self, *routes):
         """The operator writes the newest version again."""
         self.version -= 1
@@ -131,9 +139,7 @@
         self.lose_six_changes()
         self.publish(READ, WRITE)
         self.wait_for("s1")
-        self.nodes[0].kill()
-        self.nodes[0].start()
-        wait_until(self.nodes[0].is_ready, 10, "readiness after the restart")
+        self.restart(self.nodes[0])
         self.assertEqual(self.service_of(self.nodes[0]), "s1")
         self.publish(MOVED, WRITE)
         self.wait_for("s2")
@@ -141,24 +147,17 @@
     def test_a_restarted_node_learns_of_a_lost_version_from_its_peers(self):
         """Guards against a new process that undoes a version which the operator has not written again yet."""
         self.lose_six_changes()
-        self.nodes[0].kill()
-        self.nodes[0].start()
-        wait_until(self.nodes[0].is_ready, 10, "readiness after the restart")
+        self.restart(self.nodes[0])
         self.assertEqual(self.service_of(self.nodes[0]), "s2")
 
     def test_a_stale_read_under_the_new_era_replaces_nothing(self):
         """Guards against a new process that takes a cheap read of before the return for the newest state, and spreads it."""
         copy = self.store.copy()
-        for _ in range(3):
-            self.publish(READ, WRITE)
-            self.publish(MOVED, WRITE)
-        self.wait_for("s2")
+        self.publish_six_changes()
         self.store.capture_stale_snapshot()
         self.store.return_from_copy(copy)
         time.sleep(0.3)
-        self.nodes[0].kill()
-        self.nodes[0].start()
-        wait_until(self.nodes[0].is_ready, 10, "readiness after the restart")
+        self.restart(self.nodes[0])
         self.publish(READ, WRITE)
         self.wait_for("s1")
         time.sleep(3)
@@ -222,9 +221,7 @@
         copy = self.store.copy()
         self.store.remove("servers/i-0")
         time.sleep(0.6)
-        self.nodes[1].kill()
-        self.nodes[1].start()
-        wait_until(self.nodes[1].is_ready, 10, "readiness after the restart")
+        self.restart(self.nodes[1])
         time.sleep(CONTACT_S)
         returned = self.store.return_from_copy(copy)
         before = len(self.workers[0].runs)
@@ -308,9 +305,7 @@
         self.lose_six_changes()
         self.publish(READ, WRITE)
         self.wait_for("s1")
-        self.nodes[0].kill()
-        self.nodes[0].start()
-        wait_until(self.nodes[0].is_ready, 10, "readiness after the restart")
+        self.restart(self.nodes[0])
         self.publish(MOVED, WRITE)
         self.wait_for("s2")
 
@@ -336,9 +331,7 @@
         while time.monotonic() < returned + CONFIG_APPLY_S:
             for node in self.nodes:
                 self.assertEqual(node.call("/read/x", fields=old)[0], 401, node.name)
-        self.nodes[0].kill()
-        self.nodes[0].start()
-        wait_until(self.nodes[0].is_ready, 10, "readiness after the restart")
+        self.restart(self.nodes[0])
         self.assertEqual(self.nodes[0].call("/read/x", fields=old)[0], 401)
         self.rewrite_configuration(READ, WRITE)
         time.sleep(0.5)
